--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,43 @@
+//! Small `Copy` keys. Each names a row of an arena; none owns anything.
+
+use serde::{Deserialize, Serialize};
+use slotmap::new_key_type;
+
+/// A region's row in the topology of the settings.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RegionKey(pub u16);
+
+/// An availability zone's row in the topology of the settings.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ZoneKey(pub u16);
+
+/// A service's row in the settings' service table.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ServiceKey(pub u16);
+
+/// A request kind's row in the settings' kind table.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct KindKey(pub u16);
+
+/// One request as it passes through this process; unique within an incarnation.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RequestId(pub u64);
+
+new_key_type! {
+    /// An upstream's row in an arena, with a generation.
+    pub struct UpstreamKey;
+    /// An attempt in flight, with a generation.
+    pub struct FlightKey;
+    /// A claim's row in an arena, with a generation.
+    pub struct ClaimKey;
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,39 @@
+//! Siskinstep: global traffic steering.
+//!
+//! Every duty is a module with its own state, messages and tests; each runs on a thread of its
+//! own, and bounded rings join them. `docs/DESIGN.md` gives the map.
+
+// Shared vocabulary.
+pub mod call;
+pub mod clock;
+pub mod context;
+pub mod keys;
+pub mod ring;
+pub mod settings;
+pub mod sorted;
+
+// Duties of an entry VM.
+pub mod announce;
+pub mod callers;
+pub mod lookup;
+pub mod relay;
+pub mod shift;
+pub mod slots;
+pub mod spread;
+
+// Duties of a control VM.
+pub mod agree;
+pub mod operator;
+pub mod policy;
+
+// Edges and what an operator sees.
+pub mod admin;
+pub mod edge;
+pub mod observe;
+
+// Processes.
+pub mod cli;
+pub mod control;
+pub mod daemon;
+pub mod dev;
+pub mod entry;
--- /dev/null
+++ b/src/observe/events.rs
@@ -0,0 +1,79 @@
+//! The catalogue of numbered log events. `docs/EVENTS.md` lists the same rows.
+
+use {log::Level, std::fmt::Arguments};
+
+/// One row of the catalogue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Number, unique and never reused.
+    pub code: u16,
+    /// Log level.
+    pub level: Level,
+    /// What happened.
+    pub meaning: &'static str,
+    /// What an operator should do.
+    pub action: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($name:ident = $code:literal $level:ident $meaning:literal, $action:literal;)*) => {
+        impl Event {
+            $(#[doc = $meaning] pub const $name: Self = Self {
+                code: $code,
+                level: Level::$level,
+                meaning: $meaning,
+                action: $action,
+            };)*
+
+            /// Every event, by rising code.
+            pub const ALL: &'static [Self] = &[$(Self::$name),*];
+        }
+    };
+}
+
+catalogue! {
+    STARTED = 1001 Info "Process started", "None.";
+    STOPPING = 1002 Info "Graceful shutdown began", "None.";
+    STOPPED = 1003 Info "Graceful shutdown complete", "None.";
+    STOP_FORCED = 1004 Warn "Shutdown limit reached with work in flight", "Raise `stop_ms` above the longest deadline.";
+    FATAL = 1005 Error "Process cannot go on", "Read the reason in the line; restart after mending it.";
+    LISTENING = 1101 Info "Listener bound", "None.";
+    ACCEPT_FAILED = 1102 Warn "Listener could not accept a connection", "Check the open file limit.";
+    CONNECTIONS_FULL = 1103 Warn "Listener is at its connection limit", "Find the caller that holds connections, or raise `connections`.";
+    UNAUTHORIZED = 1104 Warn "Peer or operator call without the shared secret", "Check `secret_file` on the calling VM.";
+    UPSTREAM_JOINED = 1201 Info "Upstream announced itself", "None.";
+    UPSTREAM_LAPSED = 1202 Warn "Upstream's lease lapsed", "Check the upstream and its network.";
+    UPSTREAM_LEAVING = 1203 Info "Upstream is leaving", "None.";
+    CONFIG_APPLIED = 1301 Info "Configuration applied", "None.";
+    CONTROL_UNREACHABLE = 1302 Warn "No control VM could be reached", "Check control VMs and the network; traffic goes on with the last configuration.";
+    RING_FULL = 1401 Warn "Ring between two duties was full", "The VM is overloaded; add entry VMs.";
+}
+
+/// Writes an event to the log.
+///
+/// ```
+/// use siskinstep::observe::{Event, report};
+/// report(Event::STARTED, format_args!("entry-1"));
+/// ```
+pub fn report(event: Event, detail: Arguments<'_>) {
+    log::log!(event.level, "E{} {}: {detail}", event.code, event.meaning);
+}
+
+/// The catalogue as the table of `docs/EVENTS.md`.
+///
+/// ```
+/// assert!(siskinstep::observe::events::table().contains("| E1001 |"));
+/// ```
+#[must_use]
+pub fn table() -> String {
+    let mut text = String::from("| code | level | meaning | what to do |\n|---|---|---|---|\n");
+    for event in Event::ALL {
+        let level = event.level.as_str().to_lowercase();
+        let row = format!(
+            "| E{} | {level} | {} | {} |\n",
+            event.code, event.meaning, event.action
+        );
+        text.push_str(&row);
+    }
+    text
+}
