Serve a request end to end through separate processes

Cause: no path existed. Change: announce, look-up, shift, slots, relay, spread, agree (one replica in memory), operator RPC by schema, daemons, command line, dev, process tests.

--- /dev/null
+++ b/src/agree/mod.rs
@@ -0,0 +1,9 @@
+//! Agreement on the order of operators' commands.
+
+pub mod messages;
+mod thread;
+
+pub use {
+    messages::{Message, Submitted, Unavailable},
+    thread::spawn,
+};
--- /dev/null
+++ b/src/announce/state.rs
@@ -0,0 +1,40 @@
+//! The upstreams that hold a lease.
+
+use {
+    super::messages::Announcement,
+    crate::{clock::Micros, keys::UpstreamKey, sorted::Sorted},
+    slotmap::SlotMap,
+};
+
+/// One upstream's lease.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// What the upstream last said.
+    pub announcement: Announcement,
+    /// When its lease lapses.
+    pub lapses: Micros,
+}
+
+/// The upstreams that hold a lease.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    /// Leases by key.
+    pub rows: SlotMap<UpstreamKey, Row>,
+    /// Keys by name.
+    pub names: Sorted<String, UpstreamKey>,
+}
+
+impl State {
+    /// When the next lease lapses.
+    #[must_use]
+    pub fn next_lapse(&self) -> Option<Micros> {
+        self.rows.values().map(|row| row.lapses).min()
+    }
+
+    /// Removes an upstream.
+    pub(super) fn remove(&mut self, key: UpstreamKey) {
+        if let Some(row) = self.rows.remove(key) {
+            self.names.remove(row.announcement.name.as_str());
+        }
+    }
+}
--- /dev/null
+++ b/src/callers/handler.rs
@@ -0,0 +1,102 @@
+//! Takes a caller's request to the duties and awaits its outcome.
+
+use {
+    super::{decode, encode},
+    crate::{
+        call::{Call, Outcome, Reason, Refusal},
+        context::Context,
+        edge::{Handler, Incoming, Outgoing},
+        keys::RequestId,
+        lookup::Table,
+        ring::{Rejected, Sender},
+        shift,
+    },
+    bytes::Bytes,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        sync::Arc,
+    },
+    tokio::sync::{oneshot, watch},
+};
+
+/// What the front end is wired to.
+#[derive(Debug)]
+pub struct Front {
+    /// Who we are.
+    pub context: Context,
+    /// Where requests go.
+    pub ring: Sender<shift::Message>,
+    /// Rankings of the look-up duty.
+    pub tables: watch::Receiver<Arc<Table>>,
+}
+
+struct Local {
+    front: Front,
+    next: Cell<u64>,
+    lookup: RefCell<Option<(Arc<Table>, Bytes)>>,
+}
+
+/// Serves look-ups at `/v1/lookup` and requests at `/SERVICE/KIND`.
+#[must_use]
+pub fn handler(front: Front) -> Handler {
+    let local = Rc::new(Local {
+        front,
+        next: Cell::new(1),
+        lookup: RefCell::new(None),
+    });
+    Rc::new(move |incoming| {
+        let local = Rc::clone(&local);
+        Box::pin(async move { local.serve(incoming).await })
+    })
+}
+
+impl Local {
+    async fn serve(&self, incoming: Incoming) -> Outgoing {
+        match incoming.path() {
+            b"/v1/lookup" if incoming.method == "GET" => self.lookup(),
+            b"/v1/lookup" => Outgoing::refusal(405, "method_not_allowed"),
+            _ => self.relay(incoming).await,
+        }
+    }
+
+    /// Answers from the last ranking, encoded once.
+    fn lookup(&self) -> Outgoing {
+        let table = Arc::clone(&self.front.tables.borrow());
+        let mut last = self.lookup.borrow_mut();
+        let body = match &*last {
+            Some((made_from, body)) if Arc::ptr_eq(made_from, &table) => body.clone(),
+            _ => {
+                let body = encode::encode_table(&self.front.context, &table);
+                *last = Some((table, body.clone()));
+                body
+            }
+        };
+        Outgoing::new(200, "application/json", body)
+    }
+
+    async fn relay(&self, incoming: Incoming) -> Outgoing {
+        let context = &self.front.context;
+        let _guard = context.enter();
+        let id = RequestId(self.next.get());
+        self.next.set(id.0 + 1);
+        let outcome = self.run(id, incoming).await;
+        encode::encode_outcome(context, id, outcome)
+    }
+
+    async fn run(&self, id: RequestId, incoming: Incoming) -> Outcome {
+        if self.front.context.stopping() {
+            return Err(Refusal::not_run(Reason::Stopping));
+        }
+        let decoded = decode::decode(&self.front.context, id, incoming)?;
+        let (tx, rx) = oneshot::channel();
+        let reply = Box::new(move |outcome| drop(tx.send(outcome)));
+        let call = Call::new(decoded.meta, decoded.key, decoded.payload, reply);
+        if let Err(Rejected::Full(shift::Message::Route(call))) =
+            self.front.ring.offer(shift::Message::Route(call))
+        {
+            call.finish(Err(Refusal::not_run(Reason::RingFull)));
+        }
+        rx.await.unwrap_or(Err(Refusal::unknown(Reason::Stopping)))
+    }
+}
--- /dev/null
+++ b/src/callers/mod.rs
@@ -0,0 +1,12 @@
+//! The callers' front end: look-ups and requests over HTTP, turned into typed calls and back.
+
+mod decode;
+mod encode;
+mod handler;
+#[cfg(test)]
+mod tests;
+
+pub use {
+    encode::{encode_outcome, status_of},
+    handler::{Front, handler},
+};
--- /dev/null
+++ b/src/callers/tests.rs
@@ -0,0 +1,74 @@
+//! Tests of the callers' front end.
+
+use {
+    super::decode::decode,
+    crate::{
+        call::{Header, Reason},
+        context::Context,
+        edge::Incoming,
+        keys::{RequestId, ServiceKey, ZoneKey},
+        settings::topology::{Kind, Topology},
+    },
+    std::sync::Arc,
+};
+
+fn context() -> Context {
+    let mut topology = Topology::default();
+    let kind = |name: &str, once| Kind {
+        name: name.to_owned(),
+        service: ServiceKey(0),
+        worth: 1,
+        deadline_ms: 500,
+        once,
+    };
+    topology.add_service(
+        "swapdesk".to_owned(),
+        vec![kind("book", true), kind("list", false)],
+    );
+    Context::new("vm-1", ZoneKey(0), Arc::new(topology))
+}
+
+fn request(target: &'static str, headers: &[(&'static str, &'static str)]) -> Incoming {
+    let header = |(name, value): &(&'static str, &'static str)| Header {
+        name: (*name).into(),
+        value: (*value).into(),
+    };
+    Incoming {
+        method: "POST".into(),
+        target: target.into(),
+        headers: headers.iter().map(header).collect(),
+        body: "x".into(),
+    }
+}
+
+fn refusal(incoming: Incoming) -> Reason {
+    decode(&context(), RequestId(1), incoming)
+        .unwrap_err()
+        .reason
+}
+
+#[test]
+fn unknown_names_are_refused() {
+    assert_eq!(refusal(request("/", &[])), Reason::UnknownKind);
+    assert_eq!(refusal(request("/swapdesk/burn", &[])), Reason::UnknownKind);
+    assert_eq!(refusal(request("/nobody/book", &[])), Reason::UnknownKind);
+}
+
+#[test]
+fn kinds_that_run_once_need_a_key() {
+    assert_eq!(refusal(request("/swapdesk/book", &[])), Reason::KeyMissing);
+    let keyed = request("/swapdesk/book/7?x=1", &[("idempotency-key", "k")]);
+    assert_eq!(decode(&context(), RequestId(1), keyed).unwrap().key, "k");
+}
+
+#[test]
+fn a_stated_deadline_goes_before_the_kind() {
+    let context = context();
+    let stated = request("/swapdesk/list", &[("deadline-ms", "7")]);
+    let before = context.clock.now();
+    let deadline = decode(&context, RequestId(1), stated)
+        .unwrap()
+        .meta
+        .deadline;
+    assert!(deadline.since(before).as_millis() < 500);
+}
--- /dev/null
+++ b/src/cli/flags.rs
@@ -0,0 +1,95 @@
+//! The flags of each verb. `--help` works on every one.
+
+#![allow(missing_docs)] // The macro has no place for comments on what it generates.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+xflags::xflags! {
+    /// Steers traffic: orders shifts, drains and caps, and shows what is in force.
+    cmd siskinstep {
+        /// Operator address of a control VM, IP:PORT. Give one for each control VM.
+        repeated --control address: SocketAddr
+        /// File with the shared secret (default: siskinstep.secret).
+        optional --secret file: PathBuf
+        /// Output: text (default) or json.
+        optional --output format: String
+        /// Name of the operator (default: operator).
+        optional --operator name: String
+        /// Id of the command; send again with the same one to be safe.
+        optional --id id: String
+        /// Version that you have seen (default: the one in force).
+        optional --expected version: u64
+        /// Say what would happen, and change nothing.
+        optional --dry-run
+
+        /// Moves a service's traffic: creates the shift or replaces the one of that name.
+        cmd shift {
+            /// Name of the shift.
+            required name: String
+            /// Service whose traffic moves.
+            required --service name: String
+            /// Place it leaves: region/NAME or zone/NAME.
+            required --from place: String
+            /// Place it goes to: region/NAME or zone/NAME.
+            required --to place: String
+            /// How much: 250permille or 40/s.
+            required --amount amount: String
+            /// What it never exceeds (default: the amount).
+            optional --cap amount: String
+        }
+        /// Ends a shift.
+        cmd end-shift {
+            /// Name of the shift.
+            required name: String
+        }
+        /// Takes new work away: upstream/NAME, vm/NAME or zone/NAME.
+        cmd drain {
+            /// What to drain.
+            required target: String
+        }
+        /// Ends a drain.
+        cmd undrain {
+            /// What was drained.
+            required target: String
+        }
+        /// Limits what all shifts of a service bring into a place.
+        cmd cap {
+            /// Service.
+            required --service name: String
+            /// Place that receives: region/NAME or zone/NAME.
+            required --to place: String
+            /// Limit: 250permille or 40/s.
+            required --amount amount: String
+        }
+        /// Ends a cap.
+        cmd end-cap {
+            /// Service.
+            required --service name: String
+            /// Place that receives: region/NAME or zone/NAME.
+            required --to place: String
+        }
+        /// Shows the configuration in force.
+        cmd status {
+        }
+        /// Shows the latest commands with their answers, newest first.
+        cmd history {
+            /// How many (default: 20).
+            optional --limit count: usize
+        }
+        /// Checks a settings file: entry FILE or control FILE.
+        cmd check {
+            /// Role: entry or control.
+            required role: String
+            /// Settings file.
+            required file: PathBuf
+        }
+        /// Prints the catalogue of log events.
+        cmd events {
+        }
+        /// Runs control, entry and a sample upstream on loopback, and sends a request through them.
+        cmd dev {
+            /// End after the request.
+            optional --once
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,10 @@
+//! The operator's command line.
+
+mod flags;
+mod order;
+mod render;
+mod run;
+#[cfg(test)]
+mod tests;
+
+pub use run::run;
--- /dev/null
+++ b/src/cli/render.rs
@@ -0,0 +1,65 @@
+//! Answers as text or JSON.
+
+use {
+    crate::{
+        operator::Status,
+        policy::{Accepted, state::Receipt},
+    },
+    serde::Serialize,
+};
+
+/// How to print an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Format {
+    Text,
+    Json,
+}
+
+/// Prints `answer` as JSON, or as the text that `text` makes of it.
+pub(super) fn print<T: Serialize>(format: Format, answer: &T, text: impl FnOnce(&T) -> String) {
+    match format {
+        Format::Text => println!("{}", text(answer)),
+        Format::Json => match serde_json::to_string_pretty(answer) {
+            Ok(json) => println!("{json}"),
+            Err(error) => eprintln!("{error}"),
+        },
+    }
+}
+
+pub(super) fn accepted(answer: Accepted) -> String {
+    format!("accepted as version {}", answer.version)
+}
+
+pub(super) fn status(status: &Status) -> String {
+    let mut lines = vec![format!("version {} (from {})", status.version, status.vm)];
+    for shift in &status.shifts {
+        let (from, to) = (&shift.from, &shift.to);
+        let line = format!(
+            "shift {}: {} of {} from {from} to {to}",
+            shift.name, shift.amount, shift.service
+        );
+        lines.push(format!("{line}, at most {}", shift.cap));
+    }
+    for drain in &status.drains {
+        lines.push(format!("drain {drain}"));
+    }
+    for cap in &status.caps {
+        lines.push(format!(
+            "cap {}: at most {} into {}",
+            cap.service, cap.amount, cap.to
+        ));
+    }
+    lines.join("\n")
+}
+
+pub(super) fn history(receipts: &[Receipt]) -> String {
+    let line = |receipt: &Receipt| {
+        let (id, operator) = (&receipt.command.id, &receipt.command.operator);
+        match &receipt.answer {
+            Ok(accepted) => format!("{id} by {operator}: version {}", accepted.version),
+            Err(rejection) => format!("{id} by {operator}: refused: {rejection}"),
+        }
+    };
+    let lines: Vec<String> = receipts.iter().map(line).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,59 @@
+//! What both daemons do: check settings, start, wait for a signal, stop, exit.
+
+use {
+    crate::{
+        observe::{self, Event, report},
+        settings::{self, SettingsError, section::Section},
+    },
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    std::{fmt::Display, path::Path, process::ExitCode},
+};
+
+/// Exit code for settings with findings.
+const BAD_SETTINGS: u8 = 2;
+
+/// Runs a daemon on the settings file at `path`; with `check`, ends after the check.
+///
+/// `start` starts the process; `stop` ends it gracefully.
+pub fn run<S, P, E: Display>(
+    path: &Path,
+    check: bool,
+    read: impl FnOnce(&mut Section<'_>) -> S,
+    start: impl FnOnce(S) -> Result<P, E>,
+    stop: impl FnOnce(P),
+) -> ExitCode {
+    observe::start_log();
+    let settings = match settings::load(path, read) {
+        Ok(settings) => settings,
+        Err(error) => return refuse(&error),
+    };
+    if check {
+        println!("{}: settings are sound", path.display());
+        return ExitCode::SUCCESS;
+    }
+    // Before any thread, so that no signal is lost.
+    let mut signals = match Signals::new([SIGTERM, SIGINT]) {
+        Ok(signals) => signals,
+        Err(error) => return fatal(&error),
+    };
+    let process = match start(settings) {
+        Ok(process) => process,
+        Err(error) => return fatal(&error),
+    };
+    signals.forever().next();
+    stop(process);
+    ExitCode::SUCCESS
+}
+
+fn refuse(error: &SettingsError) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(BAD_SETTINGS)
+}
+
+fn fatal(error: &dyn Display) -> ExitCode {
+    report(Event::FATAL, format_args!("{error}"));
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/src/dev/mod.rs
@@ -0,0 +1,6 @@
+//! The whole path in one process on loopback, to try the system out.
+
+mod run;
+pub mod sample;
+
+pub use run::{DevError, run};
--- /dev/null
+++ b/src/dev/run.rs
@@ -0,0 +1,161 @@
+//! Starts control, entry and a sample upstream, and sends one request through them.
+
+use {
+    super::sample::{Sample, SampleError},
+    crate::{
+        control::{self, Control},
+        edge::{Secret, outbound},
+        entry::{self, Entry},
+        keys::ServiceKey,
+        observe,
+        settings::topology::{Kind, Topology},
+    },
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    snafu::{ResultExt, Snafu},
+    std::{fs, io, net::SocketAddr, path::PathBuf, time::Duration},
+};
+
+const SERVICE: &str = "cellwatch";
+const KIND: &str = "check";
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+const SLOTS: u16 = 9;
+
+/// Why the trial could not run.
+#[derive(Debug, Snafu)]
+pub enum DevError {
+    /// The control VM's duties could not start.
+    #[snafu(display("{source}"), context(false))]
+    Control {
+        /// Why.
+        source: control::StartError,
+    },
+    /// The entry VM's duties could not start.
+    #[snafu(display("{source}"), context(false))]
+    Entry {
+        /// Why.
+        source: entry::StartError,
+    },
+    /// The sample upstream could not start.
+    #[snafu(display("{source}"), context(false))]
+    Sample {
+        /// Why.
+        source: SampleError,
+    },
+    /// The request failed.
+    #[snafu(display("request: {source}"), context(false))]
+    Request {
+        /// Why.
+        source: ureq::Error,
+    },
+    /// The secret could not be written, or signals not awaited.
+    #[snafu(display("{source}"))]
+    System {
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// Runs the whole path; with `once`, ends after one request.
+///
+/// # Errors
+/// A part cannot start, or the request fails.
+pub fn run(once: bool) -> Result<(), DevError> {
+    observe::start_log();
+    let secret = format!("{:032x}", rand::random::<u128>());
+    let control = Control::start(&control_settings(), &Secret::new(&secret))?;
+    let entry = Entry::start(entry_settings(control.peers()), &Secret::new(&secret))?;
+    let sample = Sample::start("sample-1", SERVICE, SLOTS, entry.upstreams())?;
+    send(&entry, &sample)?;
+    if !once {
+        let file = write_secret(&secret).context(SystemSnafu)?;
+        show_next(&control, &entry, &file);
+        let mut signals = Signals::new([SIGTERM, SIGINT]).context(SystemSnafu)?;
+        signals.forever().next();
+        // The file is of no use after the end.
+        let _ = fs::remove_file(file);
+    }
+    drop(sample);
+    entry.stop();
+    control.stop();
+    Ok(())
+}
+
+fn topology() -> Topology {
+    let mut topology = Topology::default();
+    topology.add_region("derwent".to_owned(), vec!["derwent-a".to_owned()]);
+    let kind = Kind {
+        name: KIND.to_owned(),
+        service: ServiceKey(0),
+        worth: 10,
+        deadline_ms: 2_000,
+        once: false,
+    };
+    topology.add_service(SERVICE.to_owned(), vec![kind]);
+    topology
+}
+
+fn control_settings() -> control::Settings {
+    control::Settings {
+        vm: "control-1".to_owned(),
+        topology: topology(),
+        ring: 64,
+        ..control::Settings::default()
+    }
+}
+
+fn entry_settings(control: SocketAddr) -> entry::Settings {
+    let mut settings = entry::Settings {
+        vm: "entry-1".to_owned(),
+        topology: topology(),
+        ring: 64,
+        stop_ms: 5_000,
+        ..entry::Settings::default()
+    };
+    settings.spread.control = vec![control];
+    settings
+}
+
+fn send(entry: &Entry, sample: &Sample) -> Result<(), DevError> {
+    let agent = outbound::agent(CALL_LIMIT);
+    let lookup = format!("http://{}/v1/lookup", entry.callers());
+    let table = agent.get(&lookup).call()?.body_mut().read_to_string()?;
+    println!("look-up   GET {lookup}\n          {table}");
+    let target = format!("http://{}/{SERVICE}/{KIND}/buoy-7", entry.callers());
+    let mut answer = agent.post(&target).send("cell 3")?;
+    println!("request   POST {target}");
+    println!(
+        "way       caller -> entry-1 {} -> sample-1 {}",
+        entry.callers(),
+        sample.address
+    );
+    println!(
+        "answer    {} {}",
+        answer.status(),
+        answer.body_mut().read_to_string()?.trim_end()
+    );
+    Ok(())
+}
+
+fn show_next(control: &Control, entry: &Entry, secret: &std::path::Path) {
+    let flags = format!(
+        "--control {} --secret {}",
+        control.operators(),
+        secret.display()
+    );
+    println!("\nmetrics   curl http://{}/metrics", entry.admin());
+    println!("try next  siskinstep {flags} drain upstream/sample-1");
+    println!(
+        "then      curl -d 'cell 3' http://{}/{SERVICE}/{KIND}/buoy-7",
+        entry.callers()
+    );
+    println!("stop      Ctrl-C");
+}
+
+fn write_secret(secret: &str) -> io::Result<PathBuf> {
+    let file = std::env::temp_dir().join(format!("siskinstep-dev-{}.secret", std::process::id()));
+    fs::write(&file, secret)?;
+    Ok(file)
+}
--- /dev/null
+++ b/src/edge/client.rs
@@ -0,0 +1,58 @@
+//! JSON-RPC calls to another process of the system.
+
+use {
+    super::secret::{SECRET_HEADER, Secret},
+    hyper::header::{HeaderMap, HeaderValue},
+    jsonrpsee::{
+        core::{ClientError, client::ClientT, params::ObjectParams},
+        http_client::{HttpClient, HttpClientBuilder},
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::Value,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// A connection to one peer, reused over calls.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: HttpClient,
+}
+
+impl Client {
+    /// Prepares calls to `address`; nothing is sent yet.
+    ///
+    /// # Errors
+    /// The secret cannot be carried by a header.
+    pub fn new(address: SocketAddr, secret: &Secret, limit: Duration) -> Result<Self, ClientError> {
+        let mut headers = HeaderMap::new();
+        let value = HeaderValue::from_str(secret.expose());
+        let value = value.map_err(|error| ClientError::Custom(error.to_string()))?;
+        headers.insert(SECRET_HEADER, value);
+        let inner = HttpClientBuilder::default()
+            .request_timeout(limit)
+            .set_headers(headers)
+            .build(format!("http://{address}"))?;
+        Ok(Self { inner })
+    }
+
+    /// Calls `method` with the fields of `params`.
+    ///
+    /// # Errors
+    /// The peer is unreachable, late, or refuses.
+    pub async fn call<T: DeserializeOwned>(
+        &self,
+        method: &str,
+        params: &impl Serialize,
+    ) -> Result<T, ClientError> {
+        let fields = serde_json::to_value(params).map_err(ClientError::ParseError)?;
+        let mut named = ObjectParams::new();
+        if let Value::Object(fields) = fields {
+            for (name, value) in fields {
+                named
+                    .insert(&name, value)
+                    .map_err(ClientError::ParseError)?;
+            }
+        }
+        self.inner.request(method, named).await
+    }
+}
--- /dev/null
+++ b/src/edge/limits.rs
@@ -0,0 +1,44 @@
+//! What one connection and one listener may hold.
+
+use crate::settings::section::Section;
+
+/// Limits of a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Open connections at most.
+    pub connections: usize,
+    /// Milliseconds for a whole request head, also between two requests of a connection.
+    pub header_ms: u64,
+    /// Milliseconds for a whole request body.
+    pub body_ms: u64,
+    /// Bytes of a request body at most.
+    pub body_bytes: usize,
+    /// Milliseconds that a write to the peer may make no progress.
+    pub write_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            header_ms: 30_000,
+            body_ms: 10_000,
+            body_bytes: 1 << 20,
+            write_ms: 10_000,
+        }
+    }
+}
+
+impl Limits {
+    /// Reads the limits of a settings section.
+    pub fn read(section: &mut Section<'_>) -> Self {
+        let base = Self::default();
+        Self {
+            connections: section.size("connections", base.connections, 1..=100_000),
+            header_ms: section.number("header_ms", base.header_ms, 10..=600_000),
+            body_ms: section.number("body_ms", base.body_ms, 10..=600_000),
+            body_bytes: section.size("body_bytes", base.body_bytes, 1..=1 << 28),
+            write_ms: section.number("write_ms", base.write_ms, 10..=600_000),
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/listener.rs
@@ -0,0 +1,417 @@
+//! A bounded HTTP/1.1 listener on a thread of its own.
+
+use {
+    super::{
+        limits::Limits,
+        paced::{Paced, Stalled},
+        secret::{SECRET_HEADER, Secret},
+    },
+    crate::{
+        call::Header,
+        context::Context,
+        observe::{Event, report},
+    },
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming as Body,
+        header::{HeaderName, HeaderValue},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    snafu::{ResultExt, Snafu},
+    std::{
+        cell::Cell, convert::Infallible, future::Future, io, net::SocketAddr, pin::Pin, rc::Rc,
+        thread::JoinHandle, time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        task::LocalSet,
+        time,
+    },
+};
+
+const HEAD_BYTES: usize = 16 << 10;
+const HEADERS: usize = 64;
+const STALL_CHECK: Duration = Duration::from_millis(500);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A request, read to its last byte.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    /// Method, such as `GET`.
+    pub method: Bytes,
+    /// Path and query.
+    pub target: Bytes,
+    /// Headers in the order received.
+    pub headers: Vec<Header>,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Incoming {
+    /// The first header of that lower-case name.
+    ///
+    /// ```
+    /// # use siskinstep::edge::Incoming;
+    /// let request = Incoming { method: "GET".into(), target: "/".into(), headers: vec![],
+    ///     body: Default::default() };
+    /// assert!(request.header("deadline-ms").is_none());
+    /// ```
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&Bytes> {
+        let header = self.headers.iter().find(|header| header.name == name)?;
+        Some(&header.value)
+    }
+
+    /// The path without its query.
+    #[must_use]
+    pub fn path(&self) -> &[u8] {
+        self.target
+            .split(|byte| *byte == b'?')
+            .next()
+            .unwrap_or_default()
+    }
+}
+
+/// An answer, whole.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Outgoing {
+    /// An answer with a content type.
+    ///
+    /// ```
+    /// let answer = siskinstep::edge::Outgoing::new(200, "text/plain", "hello");
+    /// assert_eq!(answer.status, 200);
+    /// ```
+    #[must_use]
+    pub fn new(status: u16, kind: &'static str, body: impl Into<Bytes>) -> Self {
+        let header = Header {
+            name: Bytes::from_static(b"content-type"),
+            value: Bytes::from_static(kind.as_bytes()),
+        };
+        Self {
+            status,
+            headers: vec![header],
+            body: body.into(),
+        }
+    }
+
+    /// A plain refusal of the edge itself; nothing was run.
+    #[must_use]
+    pub fn refusal(status: u16, reason: &str) -> Self {
+        let body =
+            serde_json::json!({"title": reason, "status": status, "reason": reason, "ran": "no"});
+        Self::new(status, "application/problem+json", body.to_string())
+    }
+}
+
+/// Turns a request into an answer, without blocking the thread.
+pub type Handler = Rc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Outgoing>>>>;
+
+/// What to listen on, and for whom.
+#[derive(Clone, Debug)]
+pub struct Listener {
+    /// Name for logs, and of the thread.
+    pub name: &'static str,
+    /// Address to bind.
+    pub address: SocketAddr,
+    /// Bounds.
+    pub limits: Limits,
+    /// Secret that every request must carry, if any.
+    pub secret: Option<Secret>,
+}
+
+/// Why a listener could not start.
+#[derive(Debug, Snafu)]
+#[snafu(display("{name} listener on {address}: {source}"))]
+pub struct ListenError {
+    name: &'static str,
+    address: SocketAddr,
+    source: io::Error,
+}
+
+/// A listener that runs. Dropping it stops accepting and lets open requests end.
+#[derive(Debug)]
+pub struct Running {
+    /// Address that was bound.
+    pub address: SocketAddr,
+    stop: watch::Sender<bool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Stops accepting, lets open requests end and waits for the thread.
+    pub fn join(mut self) {
+        self.stop.send_replace(true);
+        if let Some(thread) = self.thread.take() {
+            // A panicked listener has been reported by the panic hook.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.send_replace(true);
+    }
+}
+
+/// Binds the listener and serves it on a new thread; `make` builds the handler there.
+///
+/// # Errors
+/// The address cannot be bound, or the thread cannot start.
+pub fn spawn(
+    listener: Listener,
+    context: Context,
+    make: impl FnOnce() -> Handler + Send + 'static,
+) -> Result<Running, ListenError> {
+    let (name, address) = (listener.name, listener.address);
+    let failed = ListenSnafu { name, address };
+    let socket = std::net::TcpListener::bind(address).context(failed)?;
+    socket.set_nonblocking(true).context(failed)?;
+    let address = socket.local_addr().context(failed)?;
+    let (stop, stopped) = watch::channel(false);
+    let thread = std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || {
+            if let Err(error) = serve(listener, socket, context, stopped, make) {
+                report(Event::FATAL, format_args!("{name} listener: {error}"));
+            }
+        });
+    let thread = thread.context(failed)?;
+    report(Event::LISTENING, format_args!("{name} on {address}"));
+    Ok(Running {
+        address,
+        stop,
+        thread: Some(thread),
+    })
+}
+
+/// One listener's state, shared by its connections on the same thread.
+struct Shared {
+    listener: Listener,
+    context: Context,
+    handler: Handler,
+    open: Cell<usize>,
+}
+
+fn serve(
+    listener: Listener,
+    socket: std::net::TcpListener,
+    context: Context,
+    stopped: watch::Receiver<bool>,
+    make: impl FnOnce() -> Handler,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    let shared = Rc::new(Shared {
+        listener,
+        context,
+        handler: make(),
+        open: Cell::new(0),
+    });
+    local.block_on(&runtime, async {
+        let socket = TcpListener::from_std(socket)?;
+        accept_until_stopped(&shared, &socket, stopped).await;
+        drop(socket);
+        await_connections(&shared).await;
+        Ok(())
+    })
+}
+
+async fn accept_until_stopped(
+    shared: &Rc<Shared>,
+    socket: &TcpListener,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let signal = stopped.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = socket.accept() => accepted,
+            _ = stopped.changed() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => admit(shared, stream, signal.clone()),
+            Err(error) => {
+                report(
+                    Event::ACCEPT_FAILED,
+                    format_args!("{}: {error}", shared.listener.name),
+                );
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn admit(shared: &Rc<Shared>, stream: TcpStream, stopped: watch::Receiver<bool>) {
+    let limit = shared.listener.limits.connections;
+    if shared.open.get() >= limit {
+        shared.context.metrics.count("connections_refused", 1);
+        report(
+            Event::CONNECTIONS_FULL,
+            format_args!("{}: {limit}", shared.listener.name),
+        );
+        return;
+    }
+    // Without it a small answer may wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    shared.open.set(shared.open.get() + 1);
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        converse(&shared, stream, stopped).await;
+        shared.open.set(shared.open.get() - 1);
+    });
+}
+
+async fn converse(shared: &Rc<Shared>, stream: TcpStream, mut stopped: watch::Receiver<bool>) {
+    let limits = shared.listener.limits;
+    let (stream, stalled) = Paced::new(stream);
+    let active = Cell::new(0_usize);
+    let service = service_fn(|request| {
+        active.set(active.get() + 1);
+        let active = &active;
+        async move {
+            let response = answer(shared, request).await;
+            active.set(active.get() - 1);
+            response
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_ms))
+        .max_buf_size(HEAD_BYTES)
+        .max_headers(HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut ending = *stopped.borrow();
+    loop {
+        tokio::select! {
+            // A broken connection concerns its peer alone.
+            _ = connection.as_mut() => return,
+            _ = stopped.changed(), if !ending => {
+                ending = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = time::sleep(STALL_CHECK) => {
+                let idle = active.get() == 0 && stalled.get().is_none();
+                if ending && idle {
+                    return;
+                }
+                if is_stalled(&stalled, limits.write_ms) {
+                    shared.context.metrics.count("connections_stalled", 1);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn is_stalled(stalled: &Stalled, limit_ms: u64) -> bool {
+    let limit = Duration::from_millis(limit_ms);
+    stalled.get().is_some_and(|since| since.elapsed() >= limit)
+}
+
+async fn await_connections(shared: &Shared) {
+    // Every connection is bounded: by its header, body and write limits, and by the call's deadline.
+    while shared.open.get() > 0 {
+        time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
+async fn answer(
+    shared: &Rc<Shared>,
+    request: Request<Body>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let outgoing = match read(shared, request).await {
+        Ok(incoming) => (shared.handler)(incoming).await,
+        Err(refusal) => refusal,
+    };
+    Ok(encode(outgoing))
+}
+
+async fn read(shared: &Shared, request: Request<Body>) -> Result<Incoming, Outgoing> {
+    let (head, body) = request.into_parts();
+    let headers: Vec<Header> = head.headers.iter().map(header).collect();
+    if let Some(secret) = &shared.listener.secret {
+        let given = head
+            .headers
+            .get(SECRET_HEADER)
+            .map_or(&b""[..], HeaderValue::as_bytes);
+        if !secret.matches(given) {
+            shared.context.metrics.count("unauthorized", 1);
+            report(
+                Event::UNAUTHORIZED,
+                format_args!("{}", shared.listener.name),
+            );
+            return Err(closing(Outgoing::refusal(401, "unauthorized")));
+        }
+    }
+    let body = read_body(&shared.listener.limits, body).await?;
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    Ok(Incoming {
+        method: Bytes::copy_from_slice(head.method.as_str().as_bytes()),
+        target: Bytes::copy_from_slice(target.as_bytes()),
+        headers,
+        body,
+    })
+}
+
+async fn read_body(limits: &Limits, body: Body) -> Result<Bytes, Outgoing> {
+    let limit = Duration::from_millis(limits.body_ms);
+    let collected = time::timeout(limit, Limited::new(body, limits.body_bytes).collect()).await;
+    match collected {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(closing(Outgoing::refusal(413, "too_large")))
+        }
+        Ok(Err(_)) => Err(closing(Outgoing::refusal(400, "malformed"))),
+        Err(_) => Err(closing(Outgoing::refusal(408, "body_timeout"))),
+    }
+}
+
+/// Marks an answer after which the connection must not be used again.
+fn closing(mut outgoing: Outgoing) -> Outgoing {
+    outgoing.headers.push(Header {
+        name: Bytes::from_static(b"connection"),
+        value: Bytes::from_static(b"close"),
+    });
+    outgoing
+}
+
+fn header((name, value): (&HeaderName, &HeaderValue)) -> Header {
+    Header {
+        name: Bytes::copy_from_slice(name.as_str().as_bytes()),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+    }
+}
+
+fn encode(outgoing: Outgoing) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(outgoing.body));
+    let status = StatusCode::from_u16(outgoing.status);
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    for header in outgoing.headers {
+        let name = HeaderName::from_bytes(&header.name);
+        let value = HeaderValue::from_maybe_shared(header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,9 @@
+//! An entry VM: its duties, the rings between them and its listeners.
+
+pub mod settings;
+mod wiring;
+
+pub use {
+    settings::Settings,
+    wiring::{Entry, StartError},
+};
--- /dev/null
+++ b/src/entry/settings.rs
@@ -0,0 +1,113 @@
+//! Settings of an entry VM.
+
+use {
+    crate::{
+        announce,
+        edge::Limits,
+        keys::ZoneKey,
+        lookup, relay,
+        settings::{section::Section, topology::Topology},
+        slots, spread,
+    },
+    std::net::SocketAddr,
+};
+
+const LOOPBACK: SocketAddr = SocketAddr::V4(std::net::SocketAddrV4::new(
+    std::net::Ipv4Addr::LOCALHOST,
+    0,
+));
+
+/// Addresses that an entry VM listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listeners {
+    /// Callers: look-ups and requests.
+    pub callers: SocketAddr,
+    /// Upstreams: announcements.
+    pub upstreams: SocketAddr,
+    /// Operators: metrics and status of this VM.
+    pub admin: SocketAddr,
+}
+
+impl Default for Listeners {
+    fn default() -> Self {
+        Self {
+            callers: LOOPBACK,
+            upstreams: LOOPBACK,
+            admin: LOOPBACK,
+        }
+    }
+}
+
+impl Listeners {
+    /// Reads the section `listeners`.
+    pub fn read(section: &mut Section<'_>) -> Self {
+        let base = Self::default();
+        Self {
+            callers: section.address("callers", base.callers),
+            upstreams: section.address("upstreams", base.upstreams),
+            admin: section.address("admin", base.admin),
+        }
+    }
+}
+
+/// Settings of an entry VM.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Name of the VM, unique in the fleet.
+    pub vm: String,
+    /// Its availability zone.
+    pub zone: ZoneKey,
+    /// Names that the fleet shares.
+    pub topology: Topology,
+    /// Addresses to listen on.
+    pub listeners: Listeners,
+    /// Bounds of the listeners.
+    pub limits: Limits,
+    /// File with the secret shared by operators and peers.
+    pub secret_file: String,
+    /// Messages that a ring holds.
+    pub ring: usize,
+    /// Milliseconds for which a stopping VM still serves callers that hold an older look-up.
+    pub linger_ms: u64,
+    /// Milliseconds at most for work in flight to end at a stop.
+    pub stop_ms: u64,
+    /// Look-ups.
+    pub lookup: lookup::Settings,
+    /// Announcements.
+    pub announce: announce::Settings,
+    /// Slots.
+    pub slots: slots::Settings,
+    /// Relay.
+    pub relay: relay::Settings,
+    /// Configuration.
+    pub spread: spread::Settings,
+}
+
+impl Settings {
+    /// Reads a settings file of an entry VM.
+    pub fn read(section: &mut Section<'_>) -> Self {
+        let vm = section.name("vm");
+        let zone_name = section.text("availability_zone", "");
+        let topology = Topology::read(section);
+        let zone = topology.zone(&zone_name);
+        if zone.is_none() {
+            section.reject("availability_zone", "expected a zone of `regions`");
+        }
+        Self {
+            vm,
+            zone: zone.unwrap_or(ZoneKey(0)),
+            topology,
+            listeners: section.section("listeners", Listeners::read),
+            limits: section.section("limits", Limits::read),
+            secret_file: section.text("secret_file", "siskinstep.secret"),
+            ring: section.size("ring", 4_096, 1..=1 << 20),
+            linger_ms: section.number("linger_ms", 1_000, 0..=600_000),
+            stop_ms: section.number("stop_ms", 30_000, 1..=3_600_000),
+            lookup: section.section("lookup", lookup::Settings::read),
+            announce: section.section("announce", announce::Settings::read),
+            slots: section.section("slots", slots::Settings::read),
+            relay: section.section("relay", relay::Settings::read),
+            spread: section.section("spread", spread::Settings::read),
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,15 @@
+//! The configuration that operators order: shifts, drains and caps, as a replicated state machine.
+//!
+//! Every VM applies the same accepted commands in the same order and so holds the same state.
+
+mod decide;
+pub mod messages;
+pub mod state;
+#[cfg(test)]
+mod tests;
+
+pub use {
+    decide::apply,
+    messages::{Accepted, Amount, Cap, Change, Command, Drain, Place, Rejection, Shift},
+    state::Policy,
+};
--- /dev/null
+++ b/src/relay/pool.rs
@@ -0,0 +1,73 @@
+//! Idle connections by address. A connection serves one attempt at a time.
+
+use {
+    crate::sorted::Sorted,
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::client::conn::http1::{self, SendRequest},
+    hyper_util::rt::TokioIo,
+    std::{
+        io,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpStream, time},
+};
+
+/// One connection, ready for a request.
+pub(super) type Connection = SendRequest<Full<Bytes>>;
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    idle: Sorted<SocketAddr, Vec<(Instant, Connection)>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last, if one is usable.
+    pub(super) fn take(&mut self, address: SocketAddr, keep: Duration) -> Option<Connection> {
+        let idle = self.idle.get_mut(&address)?;
+        while let Some((since, connection)) = idle.pop() {
+            if since.elapsed() < keep && connection.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its last byte.
+    pub(super) fn keep(&mut self, address: SocketAddr, connection: Connection, most: usize) {
+        if self.idle.get(&address).is_none() {
+            self.idle.insert(address, Vec::new());
+        }
+        let Some(idle) = self.idle.get_mut(&address) else {
+            return;
+        };
+        idle.push((Instant::now(), connection));
+        if idle.len() > most {
+            idle.remove(0);
+        }
+    }
+
+    /// Closes connections that have been idle for longer than `keep`.
+    pub(super) fn evict(&mut self, keep: Duration) {
+        self.idle.retain(|_, idle| {
+            idle.retain(|(since, connection)| since.elapsed() < keep && !connection.is_closed());
+            !idle.is_empty()
+        });
+    }
+}
+
+/// Opens a connection; its I/O runs as a task of this thread until it closes.
+pub(super) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Connection> {
+    let stream = time::timeout(limit, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    tokio::task::spawn_local(async move {
+        // The attempt that uses the connection sees the error itself.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/src/relay/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the relay against upstreams that misbehave.
--- /dev/null
+++ b/src/slots/mod.rs
@@ -0,0 +1,15 @@
+//! Who runs a request: counts the slots of upstreams exactly and picks one with room.
+
+mod decide;
+pub mod messages;
+pub mod settings;
+pub mod state;
+#[cfg(test)]
+mod tests;
+mod thread;
+
+pub use {
+    messages::{Message, Status},
+    settings::Settings,
+    thread::spawn,
+};
--- /dev/null
+++ b/src/slots/thread.rs
@@ -0,0 +1,126 @@
+//! The thread of the slots duty.
+
+use {
+    super::{
+        decide,
+        messages::{Message, Status},
+        settings::Settings,
+        state::{Row, State},
+    },
+    crate::{
+        call::{Answer, Call, Ran, Reason, Refusal},
+        context::Context,
+        keys::FlightKey,
+        policy::Policy,
+        relay::{self, Dispatch, Failure},
+        ring::Ring,
+    },
+    std::{io, sync::Arc, thread::JoinHandle},
+};
+
+/// Starts the duty; attempts go out through `relay`.
+///
+/// # Errors
+/// The thread cannot start.
+pub fn spawn(
+    context: Context,
+    settings: Settings,
+    ring: Ring<Message>,
+    relay: relay::Sender,
+) -> io::Result<JoinHandle<()>> {
+    let duty = Duty {
+        context,
+        settings,
+        relay,
+        state: State::default(),
+        policy: Arc::default(),
+    };
+    std::thread::Builder::new()
+        .name("slots".to_owned())
+        .spawn(move || duty.run(&ring))
+}
+
+struct Duty {
+    context: Context,
+    settings: Settings,
+    relay: relay::Sender,
+    state: State,
+    policy: Arc<Policy>,
+}
+
+impl Duty {
+    fn run(mut self, ring: &Ring<Message>) {
+        while let Some(message) = ring.recv() {
+            self.handle(message);
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Place(call) => self.place(call, 1),
+            Message::Done {
+                flight,
+                call,
+                result,
+            } => self.done(flight, call, result),
+            Message::Upstream(notice) => decide::notice(&mut self.state, &self.policy, notice),
+            Message::Policy(policy) => {
+                decide::apply_policy(&mut self.state, &policy);
+                self.policy = policy;
+            }
+            Message::Read(reply) => reply(self.state.rows.values().map(status).collect()),
+        }
+    }
+
+    fn place(&mut self, call: Call, attempt: u64) {
+        let now = self.context.clock.now();
+        match decide::take(&mut self.state, &call.meta, attempt, now) {
+            Ok((flight, address)) => self.dispatch(Dispatch {
+                flight,
+                address,
+                call,
+            }),
+            Err(refusal) => call.finish(Err(refusal)),
+        }
+    }
+
+    fn dispatch(&mut self, dispatch: Dispatch) {
+        let flight = dispatch.flight;
+        if let Err(dispatch) = self.relay.offer(dispatch) {
+            decide::free(&mut self.state, flight);
+            dispatch
+                .call
+                .finish(Err(Refusal::not_run(Reason::RingFull)));
+        }
+    }
+
+    fn done(&mut self, flight: FlightKey, call: Call, result: Result<Answer, Failure>) {
+        let ended = decide::free(&mut self.state, flight);
+        let attempt = ended.map_or(u64::MAX, |flight| flight.attempt);
+        match result {
+            Ok(answer) => call.finish(Ok(answer)),
+            Err(failure) if decide::may_retry(self.settings, failure, attempt) => {
+                self.context.metrics.retry(failure.reason);
+                self.place(call, attempt + 1);
+            }
+            Err(failure) => call.finish(Err(refusal(failure))),
+        }
+    }
+}
+
+fn refusal(failure: Failure) -> Refusal {
+    match failure.ran {
+        Ran::No => Refusal::not_run(failure.reason),
+        Ran::Unknown => Refusal::unknown(failure.reason),
+    }
+}
+
+fn status(row: &Row) -> Status {
+    Status {
+        name: row.said.name.clone(),
+        service: row.said.service,
+        limit: u32::from(row.said.slots),
+        taken: row.taken,
+        open: row.is_open(),
+    }
+}
