Forward requests between entry VMs over a peer listener

Cause: a request whose target is another availability zone had no way there. Change: src/peers (listener with the shared secret, JSON-RPC module for duties, /forward) and src/forward (choice by free slots less requests in flight, postcard between VMs, names instead of keys). What a peer provably did not run comes back to its own zone. Awaited rings are generic now. Ruled out: JSON-RPC for forwarded requests, since bodies would be encoded as text. No process test forwards yet: peers are not known before membership lands.

--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -31,7 +31,7 @@
         let inner = HttpClientBuilder::default()
             .request_timeout(limit)
             .set_headers(headers)
-            .build(format!("http://{address}"))?;
+            .build(format!("http://{address}/rpc"))?;
         Ok(Self { inner })
     }
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -4,6 +4,7 @@
     crate::{
         announce,
         edge::Limits,
+        forward,
         keys::ZoneKey,
         lookup, relay,
         settings::{section::Section, topology::Topology},
@@ -24,6 +25,8 @@
     pub callers: SocketAddr,
     /// Upstreams: announcements.
     pub upstreams: SocketAddr,
+    /// Peers: other VMs of the system.
+    pub peers: SocketAddr,
     /// Operators: metrics and status of this VM.
     pub admin: SocketAddr,
 }
@@ -33,6 +36,7 @@
         Self {
             callers: LOOPBACK,
             upstreams: LOOPBACK,
+            peers: LOOPBACK,
             admin: LOOPBACK,
         }
     }
@@ -45,6 +49,7 @@
         Self {
             callers: section.address("callers", base.callers),
             upstreams: section.address("upstreams", base.upstreams),
+            peers: section.address("peers", base.peers),
             admin: section.address("admin", base.admin),
         }
     }
@@ -79,6 +84,8 @@
     pub slots: slots::Settings,
     /// Relay.
     pub relay: relay::Settings,
+    /// Forwarding to other zones.
+    pub forward: forward::Settings,
     /// Configuration.
     pub spread: spread::Settings,
 }
@@ -107,6 +114,7 @@
             announce: section.section("announce", announce::Settings::read),
             slots: section.section("slots", slots::Settings::read),
             relay: section.section("relay", relay::Settings::read),
+            forward: section.section("forward", forward::Settings::read),
             spread: section.section("spread", spread::Settings::read),
         }
     }
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -7,11 +7,15 @@
         callers::{self, Front},
         context::Context,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
-        lookup,
+        forward, lookup,
         observe::{Event, report},
-        relay, ring, shift, slots,
+        peers,
+        relay::{self, Dispatch},
+        ring::{self, Inbox, Ring},
+        shift, slots,
         spread::{self, Subscribers},
     },
+    jsonrpsee::RpcModule,
     snafu::{ResultExt, Snafu},
     std::{
         io,
@@ -50,10 +54,8 @@
     context: Context,
     settings: Settings,
     rings: Rings,
-    callers: Running,
-    upstreams: Running,
-    admin: Running,
-    stops: [oneshot::Sender<()>; 2],
+    open: Open,
+    stops: Vec<oneshot::Sender<()>>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -64,6 +66,51 @@
     announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
     slots: ring::Sender<slots::Message>,
+    out: slots::Out,
+}
+
+/// The receiving end of each duty's ring.
+struct Ends {
+    lookup: Ring<lookup::Message>,
+    announce: Ring<announce::Message>,
+    shift: Ring<shift::Message>,
+    slots: Ring<slots::Message>,
+    relay: Inbox<Dispatch>,
+    forward: Inbox<forward::Message>,
+}
+
+/// The listeners.
+#[derive(Debug)]
+struct Open {
+    callers: Running,
+    upstreams: Running,
+    peers: Running,
+    admin: Running,
+}
+
+fn rings(capacity: usize) -> (Rings, Ends) {
+    let (lookup, lookup_end) = ring::bounded(capacity);
+    let (announce, announce_end) = ring::bounded(capacity);
+    let (shift, shift_end) = ring::bounded(capacity);
+    let (slots, slots_end) = ring::bounded(capacity);
+    let (relay, relay_end) = ring::awaited(capacity);
+    let (forward, forward_end) = ring::awaited(capacity);
+    let rings = Rings {
+        lookup,
+        announce,
+        shift,
+        slots,
+        out: slots::Out { relay, forward },
+    };
+    let ends = Ends {
+        lookup: lookup_end,
+        announce: announce_end,
+        shift: shift_end,
+        slots: slots_end,
+        relay: relay_end,
+        forward: forward_end,
+    };
+    (rings, ends)
 }
 
 impl Entry {
@@ -74,86 +121,20 @@
     pub fn start(settings: Settings, secret: &Secret) -> Result<Self, StartError> {
         let topology = Arc::new(settings.topology.clone());
         let context = Context::new(&settings.vm, settings.zone, topology);
-        let (lookup, lookup_ring) = ring::bounded(settings.ring);
-        let (announce, announce_ring) = ring::bounded(settings.ring);
-        let (shift, shift_ring) = ring::bounded(settings.ring);
-        let (slots, slots_ring) = ring::bounded(settings.ring);
-        let (relay, relay_ring) = relay::bounded(settings.ring);
+        let (rings, ends) = rings(settings.ring);
         let (tables, tables_seen) = watch::channel(Arc::default());
-        let rings = Rings {
-            lookup,
-            announce,
-            shift,
-            slots,
-        };
-        let (stop_relay, relay_stopped) = oneshot::channel();
-        let (stop_spread, spread_stopped) = oneshot::channel();
-        let threads = vec![
-            lookup::spawn(context.clone(), settings.lookup, lookup_ring, tables)
-                .context(ThreadSnafu { name: "lookup" })?,
-            announce::spawn(
-                context.clone(),
-                settings.announce,
-                announce_ring,
-                rings.slots.clone(),
-            )
-            .context(ThreadSnafu { name: "announce" })?,
-            shift::spawn(shift_ring, rings.slots.clone()).context(ThreadSnafu { name: "shift" })?,
-            slots::spawn(context.clone(), settings.slots, slots_ring, relay)
-                .context(ThreadSnafu { name: "slots" })?,
-            relay::spawn(
-                &context,
-                settings.relay,
-                relay_ring,
-                rings.slots.clone(),
-                relay_stopped,
-            )
-            .context(ThreadSnafu { name: "relay" })?,
-            spread::spawn(
-                context.clone(),
-                settings.spread.clone(),
-                secret.clone(),
-                subscribers(&rings),
-                spread_stopped,
-            )
-            .context(ThreadSnafu { name: "spread" })?,
-        ];
-        let front = Front {
-            context: context.clone(),
-            ring: rings.shift.clone(),
-            tables: tables_seen,
-        };
-        let listeners = settings.listeners;
-        let callers = listen(
-            "callers",
-            listeners.callers,
-            &settings,
-            &context,
-            move || callers::handler(front),
-        )?;
-        let (inner, ring) = (context.clone(), rings.announce.clone());
-        let upstreams = listen(
-            "upstreams",
-            listeners.upstreams,
-            &settings,
-            &context,
-            move || announce::handler(&inner, ring),
+        let mut stops = Vec::new();
+        let mut threads = duties(
+            &context, &settings, &rings, ends, tables, secret, &mut stops,
         )?;
-        let board = admin::Board {
-            context: context.clone(),
-            slots: Some(rings.slots.clone()),
-        };
-        let admin = listen("admin", listeners.admin, &settings, &context, move || {
-            admin::handler(board)
-        })?;
+        threads.push(follow(&context, &settings, &rings, secret, &mut stops)?);
+        let open = open(&context, &settings, &rings, tables_seen, secret)?;
         let entry = Self {
             context,
             settings,
             rings,
-            callers,
-            upstreams,
-            admin,
-            stops: [stop_relay, stop_spread],
+            open,
+            stops,
             threads,
         };
         entry.name_itself();
@@ -164,19 +145,19 @@
     /// Address of the callers' listener.
     #[must_use]
     pub fn callers(&self) -> SocketAddr {
-        self.callers.address
+        self.open.callers.address
     }
 
     /// Address of the upstreams' listener.
     #[must_use]
     pub fn upstreams(&self) -> SocketAddr {
-        self.upstreams.address
+        self.open.upstreams.address
     }
 
     /// Address of the admin listener.
     #[must_use]
     pub fn admin(&self) -> SocketAddr {
-        self.admin.address
+        self.open.admin.address
     }
 
     /// Ends gracefully: look-ups stop naming this VM, new work is refused, work in flight ends.
@@ -187,9 +168,10 @@
         thread::sleep(Duration::from_millis(self.settings.linger_ms));
         self.context.stop();
         self.await_work();
-        self.callers.join();
-        self.upstreams.join();
-        self.admin.join();
+        self.open.callers.join();
+        self.open.upstreams.join();
+        self.open.peers.join();
+        self.open.admin.join();
         drop(self.rings);
         drop(self.stops);
         for thread in self.threads {
@@ -217,33 +199,123 @@
         let vm = lookup::messages::Vm {
             name: self.settings.vm.clone(),
             zone: self.settings.zone,
-            callers: self.callers.address,
+            callers: self.open.callers.address,
             free: 1,
         };
         let _ = self.rings.lookup.send(lookup::Message::Vms(vec![vm]));
     }
 }
 
-fn subscribers(rings: &Rings) -> Subscribers {
-    Subscribers {
+/// Starts the duties that only talk over rings and to upstreams or peers.
+fn duties(
+    context: &Context,
+    settings: &Settings,
+    rings: &Rings,
+    ends: Ends,
+    tables: watch::Sender<Arc<lookup::Table>>,
+    secret: &Secret,
+    stops: &mut Vec<oneshot::Sender<()>>,
+) -> Result<Vec<JoinHandle<()>>, StartError> {
+    let slots = || rings.slots.clone();
+    let mut stop = || {
+        let (stop, stopped) = oneshot::channel();
+        stops.push(stop);
+        stopped
+    };
+    let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
+    let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
+    let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
+    let shift = shift::spawn(ends.shift, slots());
+    let placing = slots::spawn(
+        context.clone(),
+        settings.slots,
+        ends.slots,
+        rings.out.clone(),
+    );
+    let relay = relay::spawn(context, settings.relay, ends.relay, slots(), stop());
+    let forward = forward::spawn(
+        context.clone(),
+        settings.forward,
+        secret.clone(),
+        ends.forward,
+        slots(),
+        stop(),
+    );
+    Ok(vec![
+        named("lookup", lookup)?,
+        named("announce", announce)?,
+        named("shift", shift)?,
+        named("slots", placing)?,
+        named("relay", relay)?,
+        named("forward", forward)?,
+    ])
+}
+
+/// Starts the duty that follows the configuration.
+fn follow(
+    context: &Context,
+    settings: &Settings,
+    rings: &Rings,
+    secret: &Secret,
+    stops: &mut Vec<oneshot::Sender<()>>,
+) -> Result<JoinHandle<()>, StartError> {
+    let (stop, stopped) = oneshot::channel();
+    stops.push(stop);
+    let subscribers = Subscribers {
         lookup: rings.lookup.clone(),
         shift: rings.shift.clone(),
         slots: rings.slots.clone(),
-    }
+    };
+    let spread = settings.spread.clone();
+    let thread = spread::spawn(
+        context.clone(),
+        spread,
+        secret.clone(),
+        subscribers,
+        stopped,
+    );
+    thread.context(ThreadSnafu { name: "spread" })
 }
 
-fn listen(
-    name: &'static str,
-    address: SocketAddr,
-    settings: &Settings,
+/// Opens the listeners.
+fn open(
     context: &Context,
-    make: impl FnOnce() -> Handler + Send + 'static,
-) -> Result<Running, ListenError> {
-    let listener = Listener {
-        name,
-        address,
-        limits: settings.limits,
-        secret: None,
+    settings: &Settings,
+    rings: &Rings,
+    tables: watch::Receiver<Arc<lookup::Table>>,
+    secret: &Secret,
+) -> Result<Open, StartError> {
+    let addresses = settings.listeners;
+    let listen = |name, address, secret, make: Box<dyn FnOnce() -> Handler + Send>| {
+        let listener = Listener {
+            name,
+            address,
+            limits: settings.limits,
+            secret,
+        };
+        edge::spawn(listener, context.clone(), make)
+    };
+    let front = Front {
+        context: context.clone(),
+        ring: rings.shift.clone(),
+        tables,
+    };
+    let (told, announce) = (context.clone(), rings.announce.clone());
+    let (served, slots) = (context.clone(), rings.slots.clone());
+    // Duties add the methods that their like on other VMs call.
+    let module = RpcModule::new(());
+    let board = admin::Board {
+        context: context.clone(),
+        slots: Some(rings.slots.clone()),
     };
-    edge::spawn(listener, context.clone(), make)
+    let callers = Box::new(move || callers::handler(front));
+    let upstreams = Box::new(move || announce::handler(&told, announce));
+    let peers = Box::new(move || peers::handler(served, module, slots));
+    let admin = Box::new(move || admin::handler(board));
+    Ok(Open {
+        callers: listen("callers", addresses.callers, None, callers)?,
+        upstreams: listen("upstreams", addresses.upstreams, None, upstreams)?,
+        peers: listen("peers", addresses.peers, Some(secret.clone()), peers)?,
+        admin: listen("admin", addresses.admin, None, admin)?,
+    })
 }
--- /dev/null
+++ b/src/forward/receive.rs
@@ -0,0 +1,51 @@
+//! The receiving side: a forwarded request becomes a call of this VM.
+
+use {
+    super::{encode, messages::Forwarded},
+    crate::{
+        call::{Call, Outcome, Reason, Refusal},
+        context::Context,
+        edge::Outgoing,
+        keys::RequestId,
+        ring::{Rejected, Sender},
+        slots,
+    },
+    std::sync::atomic::{AtomicU64, Ordering},
+    tokio::sync::oneshot,
+};
+
+/// Ids of forwarded requests have the top bit set, so that they differ from callers'.
+static NEXT: AtomicU64 = AtomicU64::new(1 << 63);
+
+/// Runs a forwarded request here and answers with its outcome.
+pub async fn receive(context: &Context, slots: &Sender<slots::Message>, body: &[u8]) -> Outgoing {
+    let Ok(forwarded) = postcard::from_bytes::<Forwarded>(body) else {
+        return Outgoing::refusal(400, "malformed");
+    };
+    let _guard = context.enter();
+    let outcome = run(context, slots, forwarded).await;
+    context.metrics.count("forwarded_in", 1);
+    match encode::outcome(&outcome) {
+        Ok(bytes) => Outgoing::new(200, "application/octet-stream", bytes),
+        // Without an outcome the sender must take it as one that may have run.
+        Err(_) => Outgoing::refusal(500, "unencodable"),
+    }
+}
+
+async fn run(context: &Context, slots: &Sender<slots::Message>, forwarded: Forwarded) -> Outcome {
+    if context.stopping() {
+        return Err(Refusal::not_run(Reason::Stopping));
+    }
+    let id = RequestId(NEXT.fetch_add(1, Ordering::Relaxed));
+    let meta = encode::meta(context, id, context.clock.now(), &forwarded);
+    let meta = meta.ok_or(Refusal::not_run(Reason::UnknownKind))?;
+    let (tx, rx) = oneshot::channel();
+    let reply = Box::new(move |outcome| drop(tx.send(outcome)));
+    let call = Call::new(meta, forwarded.key, forwarded.payload, reply);
+    if let Err(Rejected::Full(slots::Message::Place(call))) =
+        slots.offer(slots::Message::Place(call))
+    {
+        call.finish(Err(Refusal::not_run(Reason::RingFull)));
+    }
+    rx.await.unwrap_or(Err(Refusal::unknown(Reason::Stopping)))
+}
--- /dev/null
+++ b/src/forward/settings.rs
@@ -0,0 +1,40 @@
+//! Settings of the forward duty.
+
+use crate::settings::section::Section;
+
+/// Settings of the forward duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Milliseconds for a new connection to a peer.
+    pub connect_ms: u64,
+    /// Milliseconds for which an idle connection to a peer is kept.
+    pub idle_ms: u64,
+    /// Idle connections kept for one peer.
+    pub idle_max: usize,
+    /// Bytes of an outcome at most.
+    pub answer_bytes: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect_ms: 500,
+            idle_ms: 10_000,
+            idle_max: 64,
+            answer_bytes: 16 << 20,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads the section `forward`.
+    pub fn read(section: &mut Section<'_>) -> Self {
+        let base = Self::default();
+        Self {
+            connect_ms: section.number("connect_ms", base.connect_ms, 1..=60_000),
+            idle_ms: section.number("idle_ms", base.idle_ms, 1..=600_000),
+            idle_max: section.size("idle_max", base.idle_max, 0..=1_024),
+            answer_bytes: section.size("answer_bytes", base.answer_bytes, 1..=1 << 30),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,9 @@
 // Duties of an entry VM.
 pub mod announce;
 pub mod callers;
+pub mod forward;
 pub mod lookup;
+pub mod peers;
 pub mod relay;
 pub mod shift;
 pub mod slots;
--- /dev/null
+++ b/src/peers/handler.rs
@@ -0,0 +1,29 @@
+//! Serves `/rpc` with the methods that duties registered, and `/forward`.
+
+use {
+    crate::{
+        context::Context,
+        edge::{Handler, Outgoing, rpc},
+        forward,
+        ring::Sender,
+        slots,
+    },
+    jsonrpsee::RpcModule,
+    std::rc::Rc,
+};
+
+/// Serves the peers of this VM. Forwarded requests go to `slots`: their way was decided where
+/// they entered the system.
+#[must_use]
+pub fn handler(context: Context, module: RpcModule<()>, slots: Sender<slots::Message>) -> Handler {
+    let methods = rpc::handler(module);
+    let context = Rc::new(context);
+    Rc::new(move |incoming| match incoming.path() {
+        b"/rpc" => methods(incoming),
+        b"/forward" => {
+            let (context, slots) = (Rc::clone(&context), slots.clone());
+            Box::pin(async move { forward::receive(&context, &slots, &incoming.body).await })
+        }
+        _ => Box::pin(async { Outgoing::refusal(404, "unknown_path") }),
+    })
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -2,7 +2,7 @@
 
 mod attempt;
 pub mod messages;
-mod pool;
+pub(crate) mod pool;
 pub mod settings;
 #[cfg(test)]
 mod tests;
@@ -11,5 +11,5 @@
 pub use {
     messages::{Dispatch, Failure},
     settings::Settings,
-    thread::{Sender, bounded, spawn},
+    thread::spawn,
 };
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -15,17 +15,17 @@
 };
 
 /// One connection, ready for a request.
-pub(super) type Connection = SendRequest<Full<Bytes>>;
+pub(crate) type Connection = SendRequest<Full<Bytes>>;
 
 /// Idle connections by address.
 #[derive(Debug, Default)]
-pub(super) struct Pool {
+pub(crate) struct Pool {
     idle: Sorted<SocketAddr, Vec<(Instant, Connection)>>,
 }
 
 impl Pool {
     /// Takes the connection that was used last, if one is usable.
-    pub(super) fn take(&mut self, address: SocketAddr, keep: Duration) -> Option<Connection> {
+    pub(crate) fn take(&mut self, address: SocketAddr, keep: Duration) -> Option<Connection> {
         let idle = self.idle.get_mut(&address)?;
         while let Some((since, connection)) = idle.pop() {
             if since.elapsed() < keep && connection.is_ready() {
@@ -36,7 +36,7 @@
     }
 
     /// Keeps a connection whose answer was read to its last byte.
-    pub(super) fn keep(&mut self, address: SocketAddr, connection: Connection, most: usize) {
+    pub(crate) fn keep(&mut self, address: SocketAddr, connection: Connection, most: usize) {
         if self.idle.get(&address).is_none() {
             self.idle.insert(address, Vec::new());
         }
@@ -50,7 +50,7 @@
     }
 
     /// Closes connections that have been idle for longer than `keep`.
-    pub(super) fn evict(&mut self, keep: Duration) {
+    pub(crate) fn evict(&mut self, keep: Duration) {
         self.idle.retain(|_, idle| {
             idle.retain(|(since, connection)| since.elapsed() < keep && !connection.is_closed());
             !idle.is_empty()
@@ -59,7 +59,7 @@
 }
 
 /// Opens a connection; its I/O runs as a task of this thread until it closes.
-pub(super) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Connection> {
+pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Connection> {
     let stream = time::timeout(limit, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
--- a/src/relay/thread.rs
+++ b/src/relay/thread.rs
@@ -7,49 +7,17 @@
         pool::Pool,
         settings::Settings,
     },
-    crate::{context::Context, ring, slots},
-    std::{cell::RefCell, io, rc::Rc, thread::JoinHandle, time::Duration},
-    tokio::{
-        sync::{mpsc, oneshot},
-        task::LocalSet,
-        time,
+    crate::{
+        context::Context,
+        ring::{self, Inbox},
+        slots,
     },
+    std::{cell::RefCell, io, rc::Rc, thread::JoinHandle, time::Duration},
+    tokio::{sync::oneshot, task::LocalSet, time},
 };
 
 const EVICT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The sending end of the relay's ring.
-#[derive(Clone, Debug)]
-pub struct Sender {
-    inner: mpsc::Sender<Dispatch>,
-}
-
-impl Sender {
-    /// Offers an attempt without waiting.
-    ///
-    /// # Errors
-    /// Hands the attempt back when the ring is full or closed.
-    pub fn offer(&self, dispatch: Dispatch) -> Result<(), Box<Dispatch>> {
-        self.inner.try_send(dispatch).map_err(|error| match error {
-            mpsc::error::TrySendError::Full(dispatch)
-            | mpsc::error::TrySendError::Closed(dispatch) => Box::new(dispatch),
-        })
-    }
-}
-
-/// The receiving end of the relay's ring.
-#[derive(Debug)]
-pub struct Receiver {
-    inner: mpsc::Receiver<Dispatch>,
-}
-
-/// Makes the relay's ring, which is bounded like every other but can be awaited.
-#[must_use]
-pub fn bounded(capacity: usize) -> (Sender, Receiver) {
-    let (tx, rx) = mpsc::channel(capacity);
-    (Sender { inner: tx }, Receiver { inner: rx })
-}
-
 /// Starts the duty; ended attempts go back to `slots`. It ends when `stop` closes.
 ///
 /// The slots duty holds the ring's sending end and this duty that of `slots`, so neither ring
@@ -60,7 +28,7 @@
 pub fn spawn(
     context: &Context,
     settings: Settings,
-    ring: Receiver,
+    inbox: Inbox<Dispatch>,
     slots: ring::Sender<slots::Message>,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
@@ -77,7 +45,7 @@
         };
         local.block_on(&runtime, async {
             tokio::select! {
-                () = run(tools, ring.inner, slots) => {}
+                () = run(tools, inbox, slots) => {}
                 _ = stop => {}
             }
         });
@@ -87,16 +55,12 @@
         .spawn(run)
 }
 
-async fn run(
-    tools: Tools,
-    mut ring: mpsc::Receiver<Dispatch>,
-    slots: ring::Sender<slots::Message>,
-) {
+async fn run(tools: Tools, mut inbox: Inbox<Dispatch>, slots: ring::Sender<slots::Message>) {
     let keep = Duration::from_millis(tools.settings.idle_ms);
     let mut evict = time::interval(EVICT_INTERVAL);
     loop {
         tokio::select! {
-            dispatch = ring.recv() => match dispatch {
+            dispatch = inbox.recv() => match dispatch {
                 Some(dispatch) => start(&tools, dispatch, &slots),
                 None => return,
             },
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -2,14 +2,17 @@
 //!
 //! A ring closes when its last sender is dropped; the receiving thread then ends.
 
-use std::{
-    fmt,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-        mpsc::{self, Receiver, RecvTimeoutError, SyncSender, TrySendError},
+use {
+    std::{
+        fmt,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+            mpsc::{self, Receiver, RecvTimeoutError, SyncSender, TrySendError},
+        },
+        time::Duration,
     },
-    time::Duration,
+    tokio::sync::mpsc as awaitable,
 };
 
 /// The sending end of a bounded ring.
@@ -171,3 +174,81 @@
     };
     (sender, Ring { inner: rx, depth })
 }
+
+/// The sending end of a bounded ring whose receiver is a single-threaded runtime.
+pub struct Outbox<T> {
+    inner: awaitable::Sender<T>,
+}
+
+impl<T> Clone for Outbox<T> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: self.inner.clone(),
+        }
+    }
+}
+
+impl<T> fmt::Debug for Outbox<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Outbox")
+            .field("depth", &self.depth())
+            .finish_non_exhaustive()
+    }
+}
+
+impl<T> Outbox<T> {
+    /// Offers a message without waiting.
+    ///
+    /// # Errors
+    /// Hands the message back when the ring is full or closed.
+    ///
+    /// ```
+    /// use siskinstep::ring;
+    /// let (tx, _rx) = ring::awaited(1);
+    /// assert!(tx.offer(1).is_ok());
+    /// assert!(matches!(tx.offer(2), Err(ring::Rejected::Full(2))));
+    /// ```
+    pub fn offer(&self, message: T) -> Result<(), Rejected<T>> {
+        self.inner.try_send(message).map_err(|error| match error {
+            awaitable::error::TrySendError::Full(message) => Rejected::Full(message),
+            awaitable::error::TrySendError::Closed(message) => Rejected::Closed(message),
+        })
+    }
+
+    /// Messages waiting in the ring, for gauges.
+    ///
+    /// ```
+    /// let (tx, _rx) = siskinstep::ring::awaited::<u8>(4);
+    /// assert_eq!(tx.depth(), 0);
+    /// ```
+    #[must_use]
+    pub fn depth(&self) -> usize {
+        self.inner.max_capacity() - self.inner.capacity()
+    }
+}
+
+/// The receiving end of a ring that a single-threaded runtime awaits.
+#[derive(Debug)]
+pub struct Inbox<T> {
+    inner: awaitable::Receiver<T>,
+}
+
+impl<T> Inbox<T> {
+    /// Awaits a message; `None` when every sender is gone.
+    pub async fn recv(&mut self) -> Option<T> {
+        self.inner.recv().await
+    }
+}
+
+/// Makes a ring of at most `capacity` messages for a duty that runs on a single-threaded runtime.
+///
+/// ```
+/// let (tx, _rx) = siskinstep::ring::awaited(4);
+/// tx.offer("hello").unwrap();
+/// assert_eq!(tx.depth(), 1);
+/// ```
+#[must_use]
+pub fn awaited<T>(capacity: usize) -> (Outbox<T>, Inbox<T>) {
+    let (tx, rx) = awaitable::channel(capacity);
+    (Outbox { inner: tx }, Inbox { inner: rx })
+}
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -11,5 +11,5 @@
 pub use {
     messages::{Message, Status},
     settings::Settings,
-    thread::spawn,
+    thread::{Out, spawn},
 };
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -10,15 +10,16 @@
     crate::{
         call::{Answer, Call, Ran, Reason, Refusal},
         context::Context,
+        forward,
         keys::FlightKey,
         policy::Policy,
-        relay::{self, Dispatch, Failure},
-        ring::Ring,
+        relay::{Dispatch, Failure},
+        ring::{Outbox, Rejected, Ring},
     },
     std::{io, sync::Arc, thread::JoinHandle},
 };
 
-/// Starts the duty; attempts go out through `relay`.
+/// Starts the duty; calls go on through `out`.
 ///
 /// # Errors
 /// The thread cannot start.
@@ -26,12 +27,12 @@
     context: Context,
     settings: Settings,
     ring: Ring<Message>,
-    relay: relay::Sender,
+    out: Out,
 ) -> io::Result<JoinHandle<()>> {
     let duty = Duty {
         context,
         settings,
-        relay,
+        out,
         state: State::default(),
         policy: Arc::default(),
     };
@@ -40,10 +41,19 @@
         .spawn(move || duty.run(&ring))
 }
 
+/// Where calls go from here.
+#[derive(Clone, Debug)]
+pub struct Out {
+    /// Attempts at upstreams of this zone.
+    pub relay: Outbox<Dispatch>,
+    /// Requests for another zone.
+    pub forward: Outbox<forward::Message>,
+}
+
 struct Duty {
     context: Context,
     settings: Settings,
-    relay: relay::Sender,
+    out: Out,
     state: State,
     policy: Arc<Policy>,
 }
@@ -57,6 +67,7 @@
 
     fn handle(&mut self, message: Message) {
         match message {
+            Message::Place(call) if self.is_elsewhere(&call) => self.forward(call),
             Message::Place(call) => self.place(call, 1),
             Message::Done {
                 flight,
@@ -86,7 +97,9 @@
 
     fn dispatch(&mut self, dispatch: Dispatch) {
         let flight = dispatch.flight;
-        if let Err(dispatch) = self.relay.offer(dispatch) {
+        if let Err(Rejected::Full(dispatch) | Rejected::Closed(dispatch)) =
+            self.out.relay.offer(dispatch)
+        {
             decide::free(&mut self.state, flight);
             dispatch
                 .call
@@ -94,6 +107,18 @@
         }
     }
 
+    /// Whether the request is to be served in another zone and has not been forwarded yet.
+    fn is_elsewhere(&self, call: &Call) -> bool {
+        call.meta.target != self.context.zone && call.meta.hops == 0
+    }
+
+    fn forward(&self, call: Call) {
+        let message = forward::Message::Send(call);
+        if let Err(Rejected::Full(forward::Message::Send(call))) = self.out.forward.offer(message) {
+            call.finish(Err(Refusal::not_run(Reason::RingFull)));
+        }
+    }
+
     fn done(&mut self, flight: FlightKey, call: Call, result: Result<Answer, Failure>) {
         let ended = decide::free(&mut self.state, flight);
         let attempt = ended.map_or(u64::MAX, |flight| flight.attempt);
