--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -71,6 +71,7 @@
             "service": self.context.topology.services[usize::from(row.service.0)].name,
             "limit": row.limit,
             "taken": row.taken,
+            "inherited": row.inherited,
             "open": row.open,
         })
     }
--- a/src/announce/decide.rs
+++ b/src/announce/decide.rs
@@ -2,47 +2,142 @@
 
 use {
     super::{
-        messages::{Announcement, Notice},
+        messages::{Absence, Announcement, Home, Lease, Notice},
         settings::Settings,
         state::{Row, State},
+        token::Token,
     },
-    crate::{clock::Micros, keys::UpstreamKey},
+    crate::{
+        clock::Micros,
+        context::Context,
+        keys::UpstreamKey,
+        policy::{Drain, Policy},
+    },
+    std::net::SocketAddr,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// Takes an announcement and returns what the slots duty must know.
-pub(super) fn announce(
+/// Takes an announcement; returns the answer and what the slots duty must know.
+pub(crate) fn announce(
+    state: &mut State,
+    settings: Settings,
+    context: &Context,
+    now: Micros,
+    said: &Announcement,
+) -> (Lease, Vec<Notice>) {
+    // Tokens differ, so that it is clear which of two came first.
+    state.issued = now.max(Micros(state.issued.0 + 1));
+    let home = better_home(state, context, said);
+    let holder = holder(context, said);
+    let notices = accept(state, settings, context, now, said, home.is_some());
+    let granted = state.names.get(said.name.as_str()).is_some_and(|key| {
+        state.rows[*key].announcement.incarnation == said.incarnation && !said.leaving
+    });
+    let lease = Lease {
+        granted,
+        holder,
+        token: Token::new(context, state.issued),
+        lease_ms: settings.lease_ms,
+        // An upstream without a lease echoes its first token at once.
+        renew_ms: if granted || said.leaving || state.closed {
+            settings.renew_ms
+        } else {
+            0
+        },
+        home,
+    };
+    (lease, notices)
+}
+
+fn accept(
     state: &mut State,
     settings: Settings,
+    context: &Context,
     now: Micros,
-    said: Announcement,
+    said: &Announcement,
+    elsewhere: bool,
 ) -> Vec<Notice> {
     let known = state.names.get(said.name.as_str()).copied();
-    match known {
-        Some(key) if is_stale(state, key, &said) => Vec::new(),
-        Some(key) if is_same(state, key, &said) => renew(state, settings, now, key, said),
-        Some(key) => {
-            state.remove(key);
-            let mut notices = vec![Notice::Absent { key }];
-            notices.extend(join(state, settings, now, said));
-            notices
-        }
-        None => join(state, settings, now, said),
+    if known.is_some_and(|key| is_stale(state, key, said)) {
+        return Vec::new();
+    }
+    let moved = !is_mine(context, said);
+    if moved {
+        // It last took another home's token. Tokens from before are of an earlier tenure.
+        state.fences.insert(said.name.clone(), state.issued);
+    }
+    let Some(key) = known else {
+        return join(state, settings, context, now, said, elsewhere);
+    };
+    if said.leaving {
+        return end(state, key, Absence::Leaving);
+    }
+    if !is_same(state, key, said) {
+        let mut notices = end(state, key, Absence::Replaced);
+        notices.extend(join(state, settings, context, now, said, elsewhere));
+        return notices;
     }
+    if moved {
+        return end(state, key, Absence::Moved);
+    }
+    renew(state, settings, context, now, key, said)
+}
+
+/// Whether the upstream last took an answer of this life of this VM.
+fn is_mine(context: &Context, said: &Announcement) -> bool {
+    let token = said.token.as_ref();
+    token.is_some_and(|token| token.vm == *context.vm && token.life == context.incarnation)
 }
 
 /// Ends the leases that have lapsed.
-pub(super) fn lapse(state: &mut State, now: Micros) -> Vec<(String, Notice)> {
+pub(crate) fn lapse(state: &mut State, settings: Settings, now: Micros) -> Vec<(String, Notice)> {
     let lapsed = state.rows.iter().filter(|(_, row)| row.lapses <= now);
     let lapsed: Vec<UpstreamKey> = lapsed.map(|(key, _)| key).collect();
+    // A token as old as a lease gives none, with or without a fence.
+    state
+        .fences
+        .retain(|_, fence| fence.plus_millis(settings.lease_ms) > now);
     let mut notices = Vec::new();
     for key in lapsed {
         let name = state.rows[key].announcement.name.clone();
-        state.remove(key);
-        notices.push((name, Notice::Absent { key }));
+        let ended = end(state, key, Absence::Lapsed);
+        notices.extend(ended.into_iter().map(|notice| (name.clone(), notice)));
     }
     notices
 }
 
+/// Ends every lease when this VM is drained or stops; a later `closed` of false grants again.
+pub(crate) fn close(state: &mut State, closed: bool) -> Vec<Notice> {
+    state.closed = closed;
+    if !closed {
+        return Vec::new();
+    }
+    let keys: Vec<UpstreamKey> = state.rows.keys().collect();
+    let ended = keys
+        .into_iter()
+        .flat_map(|key| end(state, key, Absence::Released));
+    ended.collect()
+}
+
+/// Whether the drains in force take this VM or its availability zone out of service.
+///
+/// ```
+/// use siskinstep::{announce, context::Context, keys::ZoneKey, policy::Policy};
+/// let context = Context::new("entry-1", ZoneKey(0), Default::default());
+/// assert!(!announce::is_drained(&Policy::default(), &context));
+/// ```
+#[must_use]
+pub fn is_drained(policy: &Policy, context: &Context) -> bool {
+    let zone = context.topology.zones.get(usize::from(context.zone.0));
+    policy.drains(&Drain::Vm(context.vm.to_string()))
+        || zone.is_some_and(|zone| policy.drains(&Drain::AvailabilityZone(zone.name.clone())))
+}
+
+fn end(state: &mut State, key: UpstreamKey, why: Absence) -> Vec<Notice> {
+    state.remove(key);
+    vec![Notice::Absent { key, why }]
+}
+
 /// An announcement of an earlier life, late on its way.
 fn is_stale(state: &State, key: UpstreamKey, said: &Announcement) -> bool {
     said.incarnation < state.rows[key].announcement.incarnation
@@ -56,42 +151,93 @@
         && last.service == said.service
 }
 
+/// When the lease ends that an echoed token gives; `None` if it gives none any more.
+fn lapses(
+    state: &State,
+    settings: Settings,
+    context: &Context,
+    now: Micros,
+    said: &Announcement,
+) -> Option<Micros> {
+    let token = said.token.as_ref().filter(|_| is_mine(context, said))?;
+    let fence = state.fences.get(said.name.as_str()).copied();
+    let in_order = token.at <= state.issued && fence.is_none_or(|fence| token.at >= fence);
+    let lapses = token.at.plus_millis(settings.lease_ms);
+    (in_order && lapses > now).then_some(lapses)
+}
+
 fn renew(
     state: &mut State,
     settings: Settings,
+    context: &Context,
     now: Micros,
     key: UpstreamKey,
-    said: Announcement,
+    said: &Announcement,
 ) -> Vec<Notice> {
-    if said.leaving {
-        state.remove(key);
-        return vec![Notice::Absent { key }];
-    }
+    let Some(lapses) = lapses(state, settings, context, now, said) else {
+        return Vec::new();
+    };
     let row = &mut state.rows[key];
-    row.lapses = now.plus_millis(settings.lease_ms);
-    if row.announcement == said {
+    // An announcement that was overtaken on its way must not undo a later one.
+    if lapses < row.lapses {
         return Vec::new();
     }
+    row.lapses = lapses;
     row.announcement = said.clone();
-    vec![Notice::Present {
-        key,
-        announcement: said,
-    }]
+    vec![present(context, key, said, lapses)]
 }
 
-fn join(state: &mut State, settings: Settings, now: Micros, said: Announcement) -> Vec<Notice> {
-    if said.leaving {
+fn join(
+    state: &mut State,
+    settings: Settings,
+    context: &Context,
+    now: Micros,
+    said: &Announcement,
+    elsewhere: bool,
+) -> Vec<Notice> {
+    if said.leaving || state.closed || elsewhere {
         return Vec::new();
     }
-    let lapses = now.plus_millis(settings.lease_ms);
-    let name = said.name.clone();
+    let Some(lapses) = lapses(state, settings, context, now, said) else {
+        return Vec::new();
+    };
     let key = state.rows.insert(Row {
         announcement: said.clone(),
         lapses,
     });
-    state.names.insert(name, key);
-    vec![Notice::Present {
+    state.names.insert(said.name.clone(), key);
+    vec![present(context, key, said, lapses)]
+}
+
+fn present(context: &Context, key: UpstreamKey, said: &Announcement, lapses: Micros) -> Notice {
+    Notice::Present {
         key,
-        announcement: said,
-    }]
+        announcement: said.clone(),
+        holder: holder(context, said).into(),
+        lapses,
+    }
+}
+
+/// Names this life of the VM and that life of the upstream.
+fn holder(context: &Context, said: &Announcement) -> String {
+    let (vm, life) = (&context.vm, context.incarnation);
+    format!("{vm}.{life:x}.{:x}", said.incarnation)
+}
+
+/// Another VM of this availability zone that should be the upstream's home, if any.
+///
+/// Rendezvous hashing: a VM that comes or goes moves only the upstreams that it wins or had.
+fn better_home(state: &State, context: &Context, said: &Announcement) -> Option<SocketAddr> {
+    let own = (!state.closed).then(|| weight(&context.vm, said));
+    let near = state
+        .homes
+        .iter()
+        .filter(|home| home.zone == context.zone && *home.name != *context.vm);
+    let best: &Home = near.max_by_key(|home| (weight(&home.name, said), home.address))?;
+    let better = own.is_none_or(|own| weight(&best.name, said) > own);
+    better.then_some(best.address)
+}
+
+fn weight(vm: &str, said: &Announcement) -> u64 {
+    xxh3_64_with_seed(said.name.as_bytes(), xxh3_64_with_seed(vm.as_bytes(), 0))
 }
--- a/src/announce/encode.rs
+++ b/src/announce/encode.rs
@@ -1,7 +1,10 @@
 //! Announcements as JSON over HTTP.
 
 use {
-    super::messages::{Announcement, Message},
+    super::{
+        messages::{Announcement, Lease, Message},
+        token::Token,
+    },
     crate::{
         context::Context,
         edge::{Handler, Incoming, Outgoing},
@@ -27,6 +30,12 @@
     pub slots: u16,
     /// Rises on each restart.
     pub incarnation: u64,
+    /// Token of the last answer taken.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<String>,
+    /// Requests of earlier homes that still run; left out if not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub inherited: Option<u16>,
     /// Requests running now.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub load: Option<u32>,
@@ -35,6 +44,23 @@
     pub leaving: bool,
 }
 
+/// The body of the answer to an announcement.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Granted {
+    /// Whether the answering VM is the home and may send work.
+    pub granted: bool,
+    /// Value of the header `siskinstep-holder` of its requests.
+    pub holder: String,
+    /// To be sent back in the next announcement.
+    pub token: String,
+    /// Milliseconds from the sending of a token to the end of the lease that it renews.
+    pub lease_ms: u64,
+    /// Milliseconds after which to announce again.
+    pub renew_ms: u64,
+    /// Another VM to announce to from now on.
+    pub home: Option<SocketAddr>,
+}
+
 /// Serves `POST /v1/announce`.
 #[must_use]
 pub fn handler(context: &Context, ring: Sender<Message>) -> Handler {
@@ -71,13 +97,24 @@
     }
     match rx.await {
         Ok(lease) => {
-            let body = serde_json::json!({"lease_ms": lease.lease_ms, "renew_ms": lease.renew_ms});
-            Outgoing::new(200, "application/json", body.to_string())
+            let body = serde_json::to_string(&encode(&lease)).unwrap_or_default();
+            Outgoing::new(200, "application/json", body)
         }
         Err(_) => Outgoing::refusal(503, "stopping"),
     }
 }
 
+fn encode(lease: &Lease) -> Granted {
+    Granted {
+        granted: lease.granted,
+        holder: lease.holder.clone(),
+        token: lease.token.to_string(),
+        lease_ms: lease.lease_ms,
+        renew_ms: lease.renew_ms,
+        home: lease.home,
+    }
+}
+
 fn decode(context: &Context, body: &[u8]) -> Result<Announcement, Vec<String>> {
     let body: Body = serde_json::from_slice(body).map_err(|error| vec![error.to_string()])?;
     let mut findings = Vec::new();
@@ -101,6 +138,9 @@
             address: body.address,
             slots: body.slots,
             incarnation: body.incarnation,
+            // What is no token at all gives no lease, like a token of another home.
+            token: body.token.as_deref().and_then(Token::parse),
+            inherited: body.inherited,
             load: body.load,
             leaving: body.leaving,
         }),
--- a/src/announce/mod.rs
+++ b/src/announce/mod.rs
@@ -1,6 +1,9 @@
 //! Upstreams announce themselves and renew a lease; this duty knows who is there.
+//!
+//! The upstream grants its home: it echoes the token of one VM only, and only that VM sends it
+//! work. `docs/upstreams.md` states the protocol.
 
-mod decide;
+pub(crate) mod decide;
 mod encode;
 pub mod messages;
 pub mod settings;
@@ -8,10 +11,13 @@
 #[cfg(test)]
 mod tests;
 mod thread;
+pub mod token;
 
 pub use {
-    encode::{Body, handler},
-    messages::{Announcement, Lease, Message, Notice},
+    decide::is_drained,
+    encode::{Body, Granted, handler},
+    messages::{Absence, Announcement, Home, Lease, Message, Notice},
     settings::Settings,
     thread::spawn,
+    token::Token,
 };
--- a/src/announce/state.rs
+++ b/src/announce/state.rs
@@ -1,7 +1,7 @@
 //! The upstreams that hold a lease.
 
 use {
-    super::messages::Announcement,
+    super::messages::{Announcement, Home},
     crate::{clock::Micros, keys::UpstreamKey, sorted::Sorted},
     slotmap::SlotMap,
 };
@@ -22,6 +22,14 @@
     pub rows: SlotMap<UpstreamKey, Row>,
     /// Keys by name.
     pub names: Sorted<String, UpstreamKey>,
+    /// By name: tokens issued before this are of an earlier tenure.
+    pub fences: Sorted<String, Micros>,
+    /// Time of the last token that was issued.
+    pub issued: Micros,
+    /// Other VMs that can be a home.
+    pub homes: Vec<Home>,
+    /// Whether this VM is a home no more: drained or stopping.
+    pub closed: bool,
 }
 
 impl State {
--- a/src/announce/thread.rs
+++ b/src/announce/thread.rs
@@ -28,65 +28,95 @@
     ring: Ring<Message>,
     slots: Sender<slots::Message>,
 ) -> io::Result<JoinHandle<()>> {
-    let run = move || run(&context, settings, &ring, &slots);
+    let duty = Duty {
+        context,
+        settings,
+        slots,
+        state: State::default(),
+        stopping: false,
+    };
     std::thread::Builder::new()
         .name("announce".to_owned())
-        .spawn(run)
+        .spawn(move || duty.run(&ring))
 }
 
-fn run(
-    context: &Context,
+struct Duty {
+    context: Context,
     settings: Settings,
-    ring: &Ring<Message>,
-    slots: &Sender<slots::Message>,
-) {
-    let mut state = State::default();
-    loop {
-        match ring.recv_within(until_lapse(context, &state)) {
-            Wait::Message(Message::Announce {
+    slots: Sender<slots::Message>,
+    state: State,
+    stopping: bool,
+}
+
+impl Duty {
+    fn run(mut self, ring: &Ring<Message>) {
+        loop {
+            match ring.recv_within(self.until_lapse()) {
+                Wait::Message(message) => self.handle(message),
+                Wait::Timeout => {}
+                Wait::Closed => return,
+            }
+            self.lapse();
+            let upstreams = self.state.rows.len();
+            self.context.metrics.level("upstreams", upstreams);
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Announce {
                 announcement,
                 reply,
-            }) => {
-                log_announcement(&state, &announcement);
-                let notices =
-                    decide::announce(&mut state, settings, context.clock.now(), announcement);
-                notify(slots, notices);
-                reply(Lease {
-                    lease_ms: settings.lease_ms,
-                    renew_ms: settings.renew_ms,
-                });
+            } => reply(self.announce(&announcement)),
+            Message::Homes(homes) => self.state.homes = homes,
+            Message::Policy(policy) => {
+                let drained = decide::is_drained(&policy, &self.context);
+                let notices = decide::close(&mut self.state, drained || self.stopping);
+                self.notify(notices);
+            }
+            Message::Stopping => {
+                self.stopping = true;
+                let notices = decide::close(&mut self.state, true);
+                self.notify(notices);
             }
-            Wait::Timeout => {}
-            Wait::Closed => return,
         }
-        for (name, notice) in decide::lapse(&mut state, context.clock.now()) {
-            report(Event::UPSTREAM_LAPSED, format_args!("{name}"));
-            notify(slots, vec![notice]);
+    }
+
+    fn announce(&mut self, said: &Announcement) -> Lease {
+        // A lease that has lapsed must not be renewed by what waited in the ring.
+        self.lapse();
+        let (name, address) = (said.name.clone(), said.address);
+        let known = self.state.names.get(name.as_str()).is_some();
+        let now = self.context.clock.now();
+        let (lease, notices) =
+            decide::announce(&mut self.state, self.settings, &self.context, now, said);
+        match (known, lease.granted) {
+            (false, true) => report(Event::UPSTREAM_JOINED, format_args!("{name} at {address}")),
+            (true, false) => report(Event::UPSTREAM_LEAVING, format_args!("{name}")),
+            _ => {}
         }
-        context.metrics.level("upstreams", state.rows.len());
+        self.notify(notices);
+        lease
     }
-}
 
-fn until_lapse(context: &Context, state: &State) -> Duration {
-    let now = context.clock.now();
-    state.next_lapse().map_or(IDLE, |lapse| lapse.since(now))
-}
+    fn lapse(&mut self) {
+        let now = self.context.clock.now();
+        for (name, notice) in decide::lapse(&mut self.state, self.settings, now) {
+            report(Event::UPSTREAM_LAPSED, format_args!("{name}"));
+            self.notify(vec![notice]);
+        }
+    }
 
-fn log_announcement(state: &State, said: &Announcement) {
-    let known = state.names.get(said.name.as_str()).is_some();
-    if said.leaving && known {
-        report(Event::UPSTREAM_LEAVING, format_args!("{}", said.name));
-    } else if !said.leaving && !known {
-        report(
-            Event::UPSTREAM_JOINED,
-            format_args!("{} at {}", said.name, said.address),
-        );
+    fn until_lapse(&self) -> Duration {
+        let now = self.context.clock.now();
+        let next = self.state.next_lapse();
+        next.map_or(IDLE, |lapse| lapse.since(now))
     }
-}
 
-fn notify(slots: &Sender<slots::Message>, notices: Vec<Notice>) {
-    for notice in notices {
-        // Waits for room: a lost notice would leave a slot count wrong for good.
-        let _ = slots.send(slots::Message::Upstream(notice));
+    fn notify(&self, notices: Vec<Notice>) {
+        for notice in notices {
+            // Waits for room: a lost notice would leave a slot count wrong for good.
+            let _ = self.slots.send(slots::Message::Upstream(notice));
+        }
     }
 }
--- a/src/call.rs
+++ b/src/call.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        cancel::Cancel,
         clock::Micros,
         keys::{KindKey, RequestId, ServiceKey, ZoneKey},
     },
@@ -65,11 +66,15 @@
     RetryBudget,
     /// The peer VM that was to serve it could not be reached.
     PeerUnreachable,
+    /// The caller closed its connection before the answer.
+    Cancelled,
+    /// The upstream's answer names another request.
+    AnswerMismatch,
 }
 
 impl Reason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::RingFull,
         Self::Stopping,
         Self::UnknownKind,
@@ -91,6 +96,8 @@
         Self::Poisoned,
         Self::RetryBudget,
         Self::PeerUnreachable,
+        Self::Cancelled,
+        Self::AnswerMismatch,
     ];
 
     /// The name used in answers and counters.
@@ -122,6 +129,8 @@
             Self::Poisoned => "poisoned",
             Self::RetryBudget => "retry_budget",
             Self::PeerUnreachable => "peer_unreachable",
+            Self::Cancelled => "cancelled",
+            Self::AnswerMismatch => "answer_mismatch",
         }
     }
 }
@@ -238,7 +247,13 @@
     /// What goes to the upstream.
     pub payload: Payload,
     sent: bool,
-    reply: Option<Reply>,
+    end: Option<Box<End>>,
+}
+
+/// The caller's end of a call.
+struct End {
+    reply: Reply,
+    cancel: Option<Cancel>,
 }
 
 impl Call {
@@ -264,14 +279,39 @@
             key,
             payload,
             sent: false,
-            reply: Some(reply),
+            end: Some(Box::new(End {
+                reply,
+                cancel: None,
+            })),
+        }
+    }
+
+    /// Lets the caller cancel the call, by dropping its end of `cancel`.
+    #[must_use]
+    pub fn with_cancel(mut self, cancel: Cancel) -> Self {
+        if let Some(end) = &mut self.end {
+            end.cancel = Some(cancel);
         }
+        self
+    }
+
+    /// How to learn that the caller cancelled, if it can.
+    #[must_use]
+    pub fn cancel(&self) -> Option<Cancel> {
+        self.end.as_ref()?.cancel.clone()
+    }
+
+    /// Whether the caller has cancelled.
+    #[must_use]
+    pub fn is_cancelled(&self) -> bool {
+        let cancel = self.end.as_ref().and_then(|end| end.cancel.as_ref());
+        cancel.is_some_and(Cancel::is_cancelled)
     }
 
     /// Answers the caller.
     pub fn finish(mut self, outcome: Outcome) {
-        if let Some(reply) = self.reply.take() {
-            reply(outcome);
+        if let Some(end) = self.end.take() {
+            (end.reply)(outcome);
         }
     }
 
@@ -285,11 +325,19 @@
         self.sent = false;
     }
 
+    /// Whether an upstream may have been given the request.
+    #[must_use]
+    pub fn was_sent(&self) -> bool {
+        self.sent
+    }
+
     /// Wraps the reply, so that a duty sees the outcome before the caller does.
     #[must_use]
     pub fn on_finish(mut self, wrap: impl FnOnce(Outcome, Reply) + Send + 'static) -> Self {
-        if let Some(reply) = self.reply.take() {
-            self.reply = Some(Box::new(move |outcome| wrap(outcome, reply)));
+        if let Some(end) = self.end.take() {
+            let End { reply, cancel } = *end;
+            let reply: Reply = Box::new(move |outcome| wrap(outcome, reply));
+            self.end = Some(Box::new(End { reply, cancel }));
         }
         self
     }
@@ -298,13 +346,13 @@
 impl Drop for Call {
     fn drop(&mut self) {
         // A duty that ends with calls in its ring must not leave a caller waiting.
-        if let Some(reply) = self.reply.take() {
+        if let Some(end) = self.end.take() {
             let refusal = if self.sent {
                 Refusal::unknown(Reason::Stopping)
             } else {
                 Refusal::not_run(Reason::Stopping)
             };
-            reply(Err(refusal));
+            (end.reply)(Err(refusal));
         }
     }
 }
--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -26,7 +26,7 @@
         Reason::InProgress | Reason::MayHaveRun => 409,
         Reason::TooLarge => 413,
         Reason::KeyReused | Reason::Poisoned => 422,
-        Reason::AnswerCut | Reason::AnswerTooLarge => 502,
+        Reason::AnswerCut | Reason::AnswerTooLarge | Reason::AnswerMismatch => 502,
         Reason::DeadlineExceeded | Reason::AnswerTimeout => 504,
         Reason::RingFull
         | Reason::Stopping
@@ -37,7 +37,8 @@
         | Reason::UpstreamRefused
         | Reason::ClaimUnavailable
         | Reason::RetryBudget
-        | Reason::PeerUnreachable => 503,
+        | Reason::PeerUnreachable
+        | Reason::Cancelled => 503,
     }
 }
 
--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -4,6 +4,7 @@
     super::{decode, encode},
     crate::{
         call::{Call, Outcome, Reason, Refusal},
+        cancel,
         context::Context,
         edge::{Handler, Incoming, Outgoing},
         keys::RequestId,
@@ -91,7 +92,14 @@
         let decoded = decode::decode(&self.front.context, id, incoming)?;
         let (tx, rx) = oneshot::channel();
         let reply = Box::new(move |outcome| drop(tx.send(outcome)));
-        let call = Call::new(decoded.meta, decoded.key, decoded.payload, reply);
+        let once = self.front.context.topology.kind_row(decoded.meta.kind).once;
+        let mut call = Call::new(decoded.meta, decoded.key, decoded.payload, reply);
+        // Dropped with this future when the caller closes its connection. What must run at most
+        // once goes on, so that the same key sent again finds its outcome.
+        let (_guard, cancel) = cancel::pair();
+        if !once {
+            call = call.with_cancel(cancel);
+        }
         if let Err(Rejected::Full(shift::Message::Route(call))) =
             self.front.ring.offer(shift::Message::Route(call))
         {
--- a/src/callers/tests.rs
+++ b/src/callers/tests.rs
@@ -20,6 +20,7 @@
         worth: 1,
         deadline_ms: 500,
         once,
+        repeatable: false,
     };
     topology.add_service(
         "swapdesk".to_owned(),
--- a/src/dev/mod.rs
+++ b/src/dev/mod.rs
@@ -1,5 +1,6 @@
 //! The whole path in one process on loopback, to try the system out.
 
+pub mod fence;
 mod run;
 pub mod sample;
 
--- a/src/dev/run.rs
+++ b/src/dev/run.rs
@@ -92,6 +92,7 @@
         worth: 10,
         deadline_ms: 2_000,
         once: false,
+        repeatable: false,
     };
     topology.add_service(SERVICE.to_owned(), vec![kind]);
     topology
--- a/src/dev/sample.rs
+++ b/src/dev/sample.rs
@@ -1,14 +1,18 @@
 //! A small upstream: answers requests and announces itself.
 
 use {
-    crate::announce::Body,
+    super::fence::Fence,
+    crate::{
+        announce::{Body, Granted},
+        relay::HOLDER_HEADER,
+    },
     rouille::{Request, Response, Server},
     snafu::Snafu,
     std::{
         io::Read,
         net::SocketAddr,
         sync::{
-            Arc,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
         thread::JoinHandle,
@@ -19,6 +23,8 @@
 const ANNOUNCE_LIMIT: Duration = Duration::from_secs(1);
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 const POLL: Duration = Duration::from_millis(20);
+/// Announcements at most until the first grant.
+const JOIN_ROUNDS: usize = 5;
 
 /// Why the sample upstream could not start.
 #[derive(Debug, Snafu)]
@@ -57,9 +63,10 @@
         slots: u16,
         entry: SocketAddr,
     ) -> Result<Self, SampleError> {
-        let shown = name.to_owned();
-        let answer = move |request: &Request| answer(&shown, request);
-        let server = Server::new("127.0.0.1:0", answer);
+        let fence: Arc<Mutex<Option<Fence>>> = Arc::default();
+        let (shown, seen) = (name.to_owned(), Arc::clone(&fence));
+        let serve = move |request: &Request| serve(&shown, &seen, request);
+        let server = Server::new("127.0.0.1:0", serve);
         let server = server.map_err(|error| SampleError::Listen {
             text: error.to_string(),
         })?;
@@ -70,10 +77,13 @@
             address,
             slots,
             incarnation: crate::clock::wall_millis(),
+            token: None,
+            inherited: None,
             load: None,
             leaving: false,
         };
-        announce(entry, &body)?;
+        *lock(&fence) = Some(Fence::new(body, entry));
+        join(&fence)?;
         let stop = Arc::new(AtomicBool::new(false));
         let (serving, announcing) = (Arc::clone(&stop), Arc::clone(&stop));
         let threads = vec![
@@ -84,9 +94,8 @@
             }),
             std::thread::spawn(move || {
                 while !announcing.load(Ordering::Relaxed) {
-                    // A lost announcement is made good by the next one.
-                    let _ = announce(entry, &body);
-                    std::thread::park_timeout(ANNOUNCE_INTERVAL);
+                    let wait = renew(&fence, entry);
+                    std::thread::park_timeout(wait);
                 }
             }),
         ];
@@ -109,6 +118,64 @@
     }
 }
 
+fn lock(fence: &Mutex<Option<Fence>>) -> MutexGuard<'_, Option<Fence>> {
+    fence.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Announces until a home grants the lease.
+fn join(fence: &Mutex<Option<Fence>>) -> Result<(), SampleError> {
+    for _ in 0..JOIN_ROUNDS {
+        if round(fence)?.granted {
+            return Ok(());
+        }
+    }
+    Err(SampleError::Announce {
+        text: "no home grants a lease".to_owned(),
+    })
+}
+
+/// Announces once and returns the time to the next announcement.
+fn renew(fence: &Mutex<Option<Fence>>, entry: SocketAddr) -> Duration {
+    match round(fence) {
+        Ok(granted) if granted.granted || granted.home.is_some() => {
+            Duration::from_millis(granted.renew_ms)
+        }
+        Ok(_) => POLL,
+        Err(_) => {
+            if let Some(fence) = lock(fence).as_mut() {
+                fence.turn_to(entry);
+            }
+            ANNOUNCE_INTERVAL
+        }
+    }
+}
+
+fn round(fence: &Mutex<Option<Fence>>) -> Result<Granted, SampleError> {
+    let next = lock(fence).as_ref().map(Fence::announcement);
+    let (home, body) = next.ok_or(SampleError::Announce {
+        text: "not started".to_owned(),
+    })?;
+    let granted = announce(home, &body)?;
+    if let Some(fence) = lock(fence).as_mut() {
+        fence.adopt(&granted);
+    }
+    Ok(granted)
+}
+
+fn serve(name: &str, fence: &Mutex<Option<Fence>>, request: &Request) -> Response {
+    let holder = request.header(HOLDER_HEADER).unwrap_or_default();
+    let entered = lock(fence).as_mut().and_then(|fence| fence.enter(holder));
+    let Some(tenure) = entered else {
+        let refusal = Response::text("not my home\n").with_status_code(503);
+        return refusal.with_additional_header(crate::relay::RAN_HEADER, "no");
+    };
+    let response = answer(name, request);
+    if let Some(fence) = lock(fence).as_mut() {
+        fence.leave(tenure);
+    }
+    response
+}
+
 fn answer(name: &str, request: &Request) -> Response {
     let mut body = String::new();
     if let Some(mut data) = request.data() {
@@ -123,15 +190,16 @@
 ///
 /// # Errors
 /// The entry VM cannot be reached, or refuses it.
-pub fn announce(entry: SocketAddr, body: &Body) -> Result<(), SampleError> {
+pub fn announce(entry: SocketAddr, body: &Body) -> Result<Granted, SampleError> {
     let refuse = |text: String| SampleError::Announce { text };
     let text = serde_json::to_string(body).map_err(|error| refuse(error.to_string()))?;
     let agent = crate::edge::outbound::agent(ANNOUNCE_LIMIT);
     let answer = agent.post(format!("http://{entry}/v1/announce")).send(text);
     let mut answer = answer.map_err(|error| refuse(error.to_string()))?;
-    if answer.status().is_success() {
-        return Ok(());
-    }
     let text = answer.body_mut().read_to_string();
-    Err(refuse(text.unwrap_or_else(|error| error.to_string())))
+    let text = text.map_err(|error| refuse(error.to_string()))?;
+    if !answer.status().is_success() {
+        return Err(refuse(text));
+    }
+    serde_json::from_str(&text).map_err(|error| refuse(error.to_string()))
 }
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -166,6 +166,7 @@
         // The duty may have ended already, then nothing names this VM any more.
         let _ = self.rings.lookup.send(lookup::Message::Stopping);
         thread::sleep(Duration::from_millis(self.settings.linger_ms));
+        let _ = self.rings.announce.send(announce::Message::Stopping);
         self.context.stop();
         self.await_work();
         self.open.callers.join();
@@ -262,6 +263,7 @@
     let (stop, stopped) = oneshot::channel();
     stops.push(stop);
     let subscribers = Subscribers {
+        announce: rings.announce.clone(),
         lookup: rings.lookup.clone(),
         shift: rings.shift.clone(),
         slots: rings.slots.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 // Shared vocabulary.
 pub mod call;
+pub mod cancel;
 pub mod clock;
 pub mod context;
 pub mod keys;
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -38,6 +38,7 @@
     samples: Arc<Mutex<Vec<Sample>>>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    failures: Counter<u64>,
     counts: Counter<u64>,
     levels: Gauge<u64>,
 }
@@ -70,6 +71,7 @@
         Self {
             samples,
             refusals: meter.u64_counter("refusals").build(),
+            failures: meter.u64_counter("failures").build(),
             retries: meter.u64_counter("retries").build(),
             counts: meter.u64_counter("events").build(),
             levels: meter.u64_gauge("level").build(),
@@ -110,6 +112,19 @@
             .add(1, &[KeyValue::new("reason", reason.name())]);
     }
 
+    /// Counts an attempt that brought no answer, by its reason.
+    ///
+    /// ```
+    /// use siskinstep::{call::Reason, observe::Metrics};
+    /// let metrics = Metrics::new();
+    /// metrics.fail(Reason::AnswerCut);
+    /// assert_eq!(metrics.read()[0].name, "failures{reason=\"answer_cut\"}");
+    /// ```
+    pub fn fail(&self, reason: Reason) {
+        self.failures
+            .add(1, &[KeyValue::new("reason", reason.name())]);
+    }
+
     /// Adds to the counter `events{what=...}`.
     ///
     /// ```
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -3,31 +3,44 @@
 use {
     super::{
         messages::Failure,
+        paths::{Path, Paths},
         pool::{self, Connection, Pool},
         settings::Settings,
     },
     crate::{
         call::{Answer, Call, Header, Ran, Reason},
-        clock::Clock,
+        cancel,
+        clock::Micros,
+        context::Context,
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{
         Method, Request, Response,
-        body::Incoming as Body,
-        header::{HOST, HeaderName, HeaderValue},
+        body::{Body as _, Incoming as Body},
+        header::{HOST, HeaderName, HeaderValue, TRANSFER_ENCODING},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
     },
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time,
 };
 
 /// Header by which an upstream says that it did not run a request: `no`.
 pub const RAN_HEADER: &str = "siskinstep-ran";
+/// Header that names the lease under which a request is sent.
+pub const HOLDER_HEADER: &str = "siskinstep-holder";
+/// Header that names the request; an upstream may send it back.
+pub const REQUEST_HEADER: &str = "siskinstep-request";
 /// Header that hands on the milliseconds left to the deadline.
 pub const DEADLINE_HEADER: &str = "deadline-ms";
 
 /// Headers that belong to one connection, or that the relay sets itself.
-const NOT_RELAYED: [&str; 11] = [
+const NOT_RELAYED: [&str; 14] = [
     "connection",
     "content-length",
     "deadline-ms",
@@ -35,6 +48,9 @@
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
+    "siskinstep-holder",
+    "siskinstep-ran",
+    "siskinstep-request",
     "te",
     "trailer",
     "transfer-encoding",
@@ -44,38 +60,108 @@
 /// What an attempt needs of its thread.
 #[derive(Clone)]
 pub(super) struct Tools {
-    pub(super) clock: Clock,
+    pub(super) context: Context,
     pub(super) settings: Settings,
     pub(super) pool: Rc<RefCell<Pool>>,
+    pub(super) paths: Rc<RefCell<Paths>>,
+}
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub(super) address: SocketAddr,
+    pub(super) holder: Arc<str>,
+    pub(super) until: Micros,
+}
+
+/// A connection and whether it has served an attempt before.
+struct Obtained {
+    connection: Connection,
+    reused: bool,
 }
 
-/// Makes the attempt. The connection is pooled only after a complete answer.
+/// Makes the attempt. The connection is pooled only after a complete answer; otherwise it is
+/// dropped, so that a late answer reaches nobody.
 pub(super) async fn run(
     tools: &Tools,
-    address: SocketAddr,
+    target: &Target,
     call: &mut Call,
 ) -> Result<Answer, Failure> {
-    let left = call.meta.deadline.since(tools.clock.now());
-    let mut connection = obtain(tools, address, left).await?;
-    let left = call.meta.deadline.since(tools.clock.now());
-    let request = encode(call, address, left)?;
-    let exchange = exchange(tools, &mut connection, call, request);
-    let answer = time::timeout(left, exchange).await;
-    // On a timeout the connection is dropped, so that its late answer reaches nobody.
-    let answer = answer.map_err(|_| unknown(Reason::AnswerTimeout))??;
+    let cancel = call.cancel();
+    let cancelled = tokio::select! {
+        result = attempt(tools, target, call) => return result,
+        () = cancel::of(cancel) => Reason::Cancelled,
+    };
+    Err(if call.was_sent() {
+        unknown(cancelled)
+    } else {
+        not_run(cancelled)
+    })
+}
+
+async fn attempt(tools: &Tools, target: &Target, call: &mut Call) -> Result<Answer, Failure> {
+    let path = tools.paths.borrow_mut().of(target.address, tools.settings);
+    let using = time::timeout(left(tools, target), path.using.acquire()).await;
+    let _using = using.map_err(|_| not_run(Reason::ConnectFailed))?;
+    let Obtained {
+        mut connection,
+        reused,
+    } = obtain(tools, target, &path).await?;
+    let left = left(tools, target);
+    if left.is_zero() {
+        return Err(not_run(Reason::DeadlineExceeded));
+    }
+    let request = encode(tools, call, target, left)?;
+    let heard = Cell::new(false);
+    let exchange = exchange(tools, &mut connection, call, request, &heard);
+    let Ok(answer) = time::timeout(left, exchange).await else {
+        if reused && !heard.get() {
+            // Something between the two ends may have lost track of connections this old.
+            tools.context.metrics.count("connections_silent", 1);
+            tools.pool.borrow_mut().retire(target.address);
+        }
+        return Err(unknown(Reason::AnswerTimeout));
+    };
+    let answer = answer?;
     let most = tools.settings.idle_max;
-    tools.pool.borrow_mut().keep(address, connection, most);
+    tools
+        .pool
+        .borrow_mut()
+        .keep(target.address, connection, most);
     Ok(answer)
 }
 
-async fn obtain(tools: &Tools, address: SocketAddr, left: Duration) -> Result<Connection, Failure> {
-    let keep = Duration::from_millis(tools.settings.idle_ms);
-    if let Some(connection) = tools.pool.borrow_mut().take(address, keep) {
-        return Ok(connection);
+fn left(tools: &Tools, target: &Target) -> Duration {
+    target.until.since(tools.context.clock.now())
+}
+
+async fn obtain(tools: &Tools, target: &Target, path: &Path) -> Result<Obtained, Failure> {
+    if let Some(idle) = take_idle(tools, target.address) {
+        return Ok(idle);
+    }
+    // Opening a connection costs the upstream time, so that few are opened at once.
+    let opening = time::timeout(left(tools, target), path.opening.acquire()).await;
+    let _opening = opening.map_err(|_| not_run(Reason::ConnectFailed))?;
+    if let Some(idle) = take_idle(tools, target.address) {
+        return Ok(idle);
     }
-    let limit = Duration::from_millis(tools.settings.connect_ms).min(left);
-    let connected = pool::connect(address, limit).await;
-    connected.map_err(|_| not_run(Reason::ConnectFailed))
+    tools.context.metrics.count("connections_opened", 1);
+    let limit = Duration::from_millis(tools.settings.connect_ms).min(left(tools, target));
+    let connected = pool::connect(target.address, limit).await;
+    let connection = connected.map_err(|_| not_run(Reason::ConnectFailed))?;
+    Ok(Obtained {
+        connection,
+        reused: false,
+    })
+}
+
+fn take_idle(tools: &Tools, address: SocketAddr) -> Option<Obtained> {
+    let keep = Duration::from_millis(tools.settings.idle_ms);
+    let connection = tools.pool.borrow_mut().take(address, keep)?;
+    Some(Obtained {
+        connection,
+        reused: true,
+    })
 }
 
 async fn exchange(
@@ -83,6 +169,7 @@
     connection: &mut Connection,
     call: &mut Call,
     request: Request<Full<Bytes>>,
+    heard: &Cell<bool>,
 ) -> Result<Answer, Failure> {
     call.mark_sent();
     let response = match connection.try_send_request(request).await {
@@ -96,11 +183,36 @@
             return Err(not_run(Reason::ConnectFailed));
         }
     };
-    if says_not_run(&response) {
+    heard.set(true);
+    check(tools, call, &response)?;
+    read(tools, response).await
+}
+
+/// Refuses an answer that is none to this request, or whose end could not be told.
+fn check(tools: &Tools, call: &mut Call, response: &Response<Body>) -> Result<(), Failure> {
+    let headers = response.headers();
+    let named = headers.get(REQUEST_HEADER);
+    if named.is_some_and(|name| *name != request_name(tools, call)) {
+        return Err(unknown(Reason::AnswerMismatch));
+    }
+    if says_not_run(response) {
         call.mark_unsent();
         return Err(not_run(Reason::UpstreamRefused));
     }
-    read(tools, response).await
+    let sized = response.body().size_hint().exact().is_some();
+    let is_whole = sized || headers.contains_key(TRANSFER_ENCODING);
+    if response.status().is_informational() || !is_whole {
+        return Err(unknown(Reason::AnswerCut));
+    }
+    Ok(())
+}
+
+fn request_name(tools: &Tools, call: &Call) -> String {
+    let context = &tools.context;
+    format!(
+        "{}-{:x}-{:x}",
+        context.vm, context.incarnation, call.meta.id.0
+    )
 }
 
 fn says_not_run(response: &Response<Body>) -> bool {
@@ -137,14 +249,15 @@
 }
 
 fn encode(
+    tools: &Tools,
     call: &Call,
-    address: SocketAddr,
+    target: &Target,
     left: Duration,
 ) -> Result<Request<Full<Bytes>>, Failure> {
     let malformed = || not_run(Reason::UnknownKind);
     let method = Method::from_bytes(&call.payload.method).map_err(|_| malformed())?;
-    let target = std::str::from_utf8(&call.payload.target).map_err(|_| malformed())?;
-    let request = Request::builder().method(method).uri(target);
+    let uri = std::str::from_utf8(&call.payload.target).map_err(|_| malformed())?;
+    let request = Request::builder().method(method).uri(uri);
     let mut request = request
         .body(Full::new(call.payload.body.clone()))
         .map_err(|_| malformed())?;
@@ -161,8 +274,15 @@
             headers.append(name, value);
         }
     }
-    let host = HeaderValue::from_str(&address.to_string()).map_err(|_| malformed())?;
-    headers.insert(HOST, host);
+    let own = [
+        (HOST.as_str(), target.address.to_string()),
+        (HOLDER_HEADER, target.holder.to_string()),
+        (REQUEST_HEADER, request_name(tools, call)),
+    ];
+    for (name, value) in own {
+        let value = HeaderValue::from_str(&value).map_err(|_| malformed())?;
+        headers.insert(HeaderName::from_static(name), value);
+    }
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     headers.insert(DEADLINE_HEADER, HeaderValue::from(left));
     Ok(request)
--- a/src/relay/messages.rs
+++ b/src/relay/messages.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         call::{Call, Ran, Reason},
+        clock::Micros,
         keys::FlightKey,
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// An attempt to be made.
@@ -15,6 +16,10 @@
     pub flight: FlightKey,
     /// Where to.
     pub address: SocketAddr,
+    /// Header value that shows this VM's lease to the upstream.
+    pub holder: Arc<str>,
+    /// When to give it up.
+    pub until: Micros,
     /// What for.
     pub call: Call,
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 pub mod messages;
+mod paths;
 pub(crate) mod pool;
 pub mod settings;
 #[cfg(test)]
@@ -9,6 +10,7 @@
 mod thread;
 
 pub use {
+    attempt::{DEADLINE_HEADER, HOLDER_HEADER, RAN_HEADER, REQUEST_HEADER},
     messages::{Dispatch, Failure},
     settings::Settings,
     thread::spawn,
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -6,6 +6,7 @@
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
+    socket2::{SockRef, TcpKeepalive},
     std::{
         io,
         net::SocketAddr,
@@ -14,6 +15,11 @@
     tokio::{net::TcpStream, time},
 };
 
+/// Time between probes of a connection on which nothing arrives.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection is dead.
+const PROBES: u32 = 2;
+
 /// One connection, ready for a request.
 pub(crate) type Connection = SendRequest<Full<Bytes>>;
 
@@ -49,6 +55,11 @@
         }
     }
 
+    /// Closes the idle connections to `address`, such as when one of them went silent.
+    pub(crate) fn retire(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+
     /// Closes connections that have been idle for longer than `keep`.
     pub(crate) fn evict(&mut self, keep: Duration) {
         self.idle.retain(|_, idle| {
@@ -58,10 +69,22 @@
     }
 }
 
+/// Lets the system end a connection whose other end acknowledges nothing any more.
+fn watch(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(PROBE_INTERVAL * (PROBES + 1)))
+}
+
 /// Opens a connection; its I/O runs as a task of this thread until it closes.
 pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Connection> {
     let stream = time::timeout(limit, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
+    watch(&stream)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/src/relay/thread.rs
+++ b/src/relay/thread.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        attempt::{self, Tools},
+        attempt::{self, Target, Tools},
         messages::Dispatch,
+        paths::Paths,
         pool::Pool,
         settings::Settings,
     },
@@ -35,13 +36,14 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let clock = context.clock;
+    let context = context.clone();
     let run = move || {
         let local = LocalSet::new();
         let tools = Tools {
-            clock,
+            context,
             settings,
             pool: Rc::new(RefCell::new(Pool::default())),
+            paths: Rc::new(RefCell::new(Paths::default())),
         };
         local.block_on(&runtime, async {
             tokio::select! {
@@ -64,7 +66,10 @@
                 Some(dispatch) => start(&tools, dispatch, &slots),
                 None => return,
             },
-            _ = evict.tick() => tools.pool.borrow_mut().evict(keep),
+            _ = evict.tick() => {
+                tools.pool.borrow_mut().evict(keep);
+                tools.paths.borrow_mut().evict();
+            }
         }
     }
 }
@@ -75,9 +80,16 @@
         let Dispatch {
             flight,
             address,
+            holder,
+            until,
             mut call,
         } = dispatch;
-        let result = attempt::run(&tools, address, &mut call).await;
+        let target = Target {
+            address,
+            holder,
+            until,
+        };
+        let result = attempt::run(&tools, &target, &mut call).await;
         // Waits for room: the slot must be freed. The slots duty never waits for this one.
         let _ = slots.send(slots::Message::Done {
             flight,
--- a/src/settings/topology.rs
+++ b/src/settings/topology.rs
@@ -37,6 +37,8 @@
     pub deadline_ms: u64,
     /// Whether it must run at most once, under an idempotency key.
     pub once: bool,
+    /// Whether it may run again after an attempt that may have run; never with `once`.
+    pub repeatable: bool,
 }
 
 /// Every name that settings declare, as arenas.
@@ -200,12 +202,18 @@
 
 fn read_kind(row: &mut Section<'_>) -> Kind {
     let worth = row.number("worth", DEFAULT_WORTH, 1..=1_000);
+    let once = row.flag("once", false);
+    let repeatable = row.flag("repeatable", false);
+    if once && repeatable {
+        row.reject("repeatable", "expected false on a kind with `once`");
+    }
     Kind {
         name: row.name("name"),
         service: ServiceKey(0),
         worth: u16::try_from(worth).unwrap_or(u16::MAX),
         deadline_ms: row.number("deadline_ms", DEFAULT_DEADLINE_MS, 1..=600_000),
-        once: row.flag("once", false),
+        once,
+        repeatable,
     }
 }
 
--- a/src/slots/messages.rs
+++ b/src/slots/messages.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        announce::Notice,
+        announce::{Absence, Notice},
         call::{Answer, Call},
         keys::{FlightKey, ServiceKey},
         policy::Policy,
@@ -18,12 +18,18 @@
     pub name: String,
     /// Service.
     pub service: ServiceKey,
-    /// Slots that may be taken.
+    /// Slots that it announces.
     pub limit: u32,
-    /// Slots that are taken.
+    /// Slots taken from here.
     pub taken: u32,
+    /// Slots that earlier homes may still hold.
+    pub inherited: u32,
     /// Whether it gets new work.
     pub open: bool,
+    /// Why it gets none, if it is on its own account.
+    pub absence: Option<Absence>,
+    /// Whether an operator drains it, its VM or its availability zone.
+    pub drained: bool,
 }
 
 /// What the duty is told.
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -1,7 +1,10 @@
 //! Who runs a request: counts the slots of upstreams exactly and picks one with room.
 
+pub mod budget;
+mod choose;
 mod decide;
 pub mod messages;
+mod queue;
 pub mod settings;
 pub mod state;
 #[cfg(test)]
--- a/src/slots/settings.rs
+++ b/src/slots/settings.rs
@@ -7,11 +7,41 @@
 pub struct Settings {
     /// Attempts at most for one request.
     pub attempts: u64,
+    /// Milliseconds at most for one attempt, whatever the caller's deadline.
+    pub attempt_ms: u64,
+    /// Milliseconds after its deadline by which an upstream must have stopped.
+    pub grace_ms: u64,
+    /// Milliseconds for which every slot counts as taken when an upstream cannot say what earlier
+    /// homes left running.
+    pub settle_ms: u64,
+    /// Requests that may wait for one service; zero lets none wait.
+    pub queue: usize,
+    /// Retries earned by each first attempt, in thousandths.
+    pub retry_permille: u64,
+    /// Retries that may be saved up, for each kind and each upstream.
+    pub retry_burst: u64,
+    /// Milliseconds over which a new upstream's slots are opened.
+    pub ramp_ms: u64,
+    /// Failed attempts in a row after which an upstream is backed off.
+    pub eject_after: u32,
+    /// Milliseconds of the first back-off; it doubles up to 32 times.
+    pub backoff_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { attempts: 3 }
+        Self {
+            attempts: 3,
+            attempt_ms: 30_000,
+            grace_ms: 100,
+            settle_ms: 40_000,
+            queue: 64,
+            retry_permille: 100,
+            retry_burst: 10,
+            ramp_ms: 1_000,
+            eject_after: 3,
+            backoff_ms: 200,
+        }
     }
 }
 
@@ -19,8 +49,23 @@
     /// Reads the section `slots`.
     pub fn read(section: &mut Section<'_>) -> Self {
         let base = Self::default();
-        Self {
+        let eject_after = u64::from(base.eject_after);
+        let eject_after = section.number("eject_after", eject_after, 1..=1_000);
+        let settings = Self {
             attempts: section.number("attempts", base.attempts, 1..=10),
+            attempt_ms: section.number("attempt_ms", base.attempt_ms, 1..=600_000),
+            grace_ms: section.number("grace_ms", base.grace_ms, 0..=60_000),
+            settle_ms: section.number("settle_ms", base.settle_ms, 1..=3_600_000),
+            queue: section.size("queue", base.queue, 0..=1 << 16),
+            retry_permille: section.number("retry_permille", base.retry_permille, 0..=1_000),
+            retry_burst: section.number("retry_burst", base.retry_burst, 0..=10_000),
+            ramp_ms: section.number("ramp_ms", base.ramp_ms, 0..=600_000),
+            eject_after: u32::try_from(eject_after).unwrap_or(u32::MAX),
+            backoff_ms: section.number("backoff_ms", base.backoff_ms, 1..=60_000),
+        };
+        if settings.settle_ms < settings.attempt_ms + settings.grace_ms {
+            section.reject("settle_ms", "expected at least attempt_ms + grace_ms");
         }
+        settings
     }
 }
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -2,23 +2,31 @@
 
 use {
     super::{
-        decide,
+        choose, decide,
+        decide::Grant,
         messages::{Message, Status},
+        queue::{self, Placed},
         settings::Settings,
-        state::{Row, State},
+        state::{Request, Row, State},
     },
     crate::{
+        announce,
         call::{Answer, Call, Ran, Reason, Refusal},
+        clock::Micros,
         context::Context,
         forward,
-        keys::FlightKey,
+        keys::{FlightKey, ServiceKey, UpstreamKey, WaitKey},
         policy::Policy,
         relay::{Dispatch, Failure},
-        ring::{Outbox, Rejected, Ring},
+        ring::{Outbox, Rejected, Ring, Wait},
     },
-    std::{io, sync::Arc, thread::JoinHandle},
+    slotmap::SecondaryMap,
+    std::{io, sync::Arc, thread::JoinHandle, time::Duration},
 };
 
+const IDLE: Duration = Duration::from_secs(1);
+const LEVELS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Starts the duty; calls go on through `out`.
 ///
 /// # Errors
@@ -30,11 +38,13 @@
     out: Out,
 ) -> io::Result<JoinHandle<()>> {
     let duty = Duty {
+        levelled: context.clock.now(),
         context,
         settings,
         out,
         state: State::default(),
         policy: Arc::default(),
+        calls: SecondaryMap::default(),
     };
     std::thread::Builder::new()
         .name("slots".to_owned())
@@ -56,47 +66,135 @@
     out: Out,
     state: State,
     policy: Arc<Policy>,
+    /// Calls of the requests that wait.
+    calls: SecondaryMap<WaitKey, Call>,
+    /// When the levels were last published.
+    levelled: Micros,
 }
 
 impl Duty {
     fn run(mut self, ring: &Ring<Message>) {
-        while let Some(message) = ring.recv() {
-            self.handle(message);
+        loop {
+            match ring.recv_within(self.until_wake()) {
+                Wait::Message(message) => self.handle(message),
+                Wait::Timeout => self.publish(),
+                Wait::Closed => return,
+            }
+            let now = self.now();
+            decide::settle(&mut self.state, now);
+            self.pump();
+            if self.now().since(self.levelled) >= LEVELS_INTERVAL {
+                self.publish();
+            }
         }
     }
 
     fn handle(&mut self, message: Message) {
         match message {
             Message::Place(call) if self.is_elsewhere(&call) => self.forward(call),
-            Message::Place(call) => self.place(call, 1),
+            Message::Place(call) => self.place(call, 1, None),
             Message::Done {
                 flight,
                 call,
                 result,
             } => self.done(flight, call, result),
-            Message::Upstream(notice) => decide::notice(&mut self.state, &self.policy, notice),
+            Message::Upstream(notice) => {
+                let now = self.now();
+                decide::notice(&mut self.state, self.settings, &self.policy, notice, now);
+            }
             Message::Policy(policy) => {
-                decide::apply_policy(&mut self.state, &policy);
+                let drained = announce::is_drained(&policy, &self.context);
+                decide::apply_policy(&mut self.state, &policy, drained);
                 self.policy = policy;
             }
-            Message::Read(reply) => reply(self.state.rows.values().map(status).collect()),
+            Message::Read(reply) => reply(self.statuses()),
         }
     }
 
-    fn place(&mut self, call: Call, attempt: u64) {
-        let now = self.context.clock.now();
-        match decide::take(&mut self.state, &call.meta, attempt, now) {
-            Ok((flight, address)) => self.dispatch(Dispatch {
-                flight,
-                address,
-                call,
-            }),
-            Err(refusal) => call.finish(Err(refusal)),
+    fn now(&self) -> Micros {
+        self.context.clock.now()
+    }
+
+    fn until_wake(&self) -> Duration {
+        let now = self.now();
+        let times = [
+            queue::next_expiry(&self.state),
+            decide::next_settle(&self.state),
+            choose::next_ramp(&self.state, self.settings, now),
+        ];
+        let next = times.into_iter().flatten().min();
+        next.map_or(IDLE, |next| next.since(now).min(IDLE))
+    }
+
+    fn place(&mut self, call: Call, attempt: u64, avoid: Option<UpstreamKey>) {
+        let request = Request {
+            meta: call.meta,
+            worth: self.context.topology.kind_row(call.meta.kind).worth,
+            attempt,
+            avoid,
+        };
+        self.drop_cancelled(call.meta.service);
+        let now = self.now();
+        let placed = queue::place(&mut self.state, self.settings, request, now);
+        self.carry_out(call, placed);
+    }
+
+    fn carry_out(&mut self, call: Call, placed: Placed) {
+        match placed {
+            Placed::Go(grant) => self.dispatch(call, grant),
+            Placed::Refuse(refusal) => call.finish(Err(refusal)),
+            Placed::Wait { key, shed } => {
+                self.context.metrics.count("queued", 1);
+                self.calls.insert(key, call);
+                if let Some(call) = shed.and_then(|key| self.calls.remove(key)) {
+                    call.finish(Err(Refusal::not_run(Reason::Shed)));
+                }
+            }
+        }
+    }
+
+    /// Gives freed slots to requests that wait, and refuses those that have waited too long.
+    fn pump(&mut self) {
+        let waiting = self.state.services.rows().iter();
+        let waiting = waiting.filter(|(_, service)| !service.queue.is_empty());
+        let services: Vec<ServiceKey> = waiting.map(|(key, _)| *key).collect();
+        for service in services {
+            self.drop_cancelled(service);
+            let now = self.now();
+            for (key, placed) in queue::pump(&mut self.state, self.settings, service, now) {
+                if let Some(call) = self.calls.remove(key) {
+                    self.carry_out(call, placed);
+                }
+            }
         }
     }
 
-    fn dispatch(&mut self, dispatch: Dispatch) {
-        let flight = dispatch.flight;
+    /// Ends the waits of callers that have gone.
+    fn drop_cancelled(&mut self, service: ServiceKey) {
+        let Some(row) = self.state.services.get(&service) else {
+            return;
+        };
+        let gone = row.queue.iter().map(|waiting| waiting.key);
+        let gone = gone.filter(|key| self.calls.get(*key).is_some_and(Call::is_cancelled));
+        let gone: Vec<WaitKey> = gone.collect();
+        for key in gone {
+            queue::drop_wait(&mut self.state, service, key);
+            if let Some(call) = self.calls.remove(key) {
+                self.context.metrics.refuse(Reason::Cancelled, Ran::No);
+                call.finish(Err(Refusal::not_run(Reason::Cancelled)));
+            }
+        }
+    }
+
+    fn dispatch(&mut self, call: Call, grant: Grant) {
+        let flight = grant.flight;
+        let dispatch = Dispatch {
+            flight,
+            address: grant.address,
+            holder: grant.holder,
+            until: grant.until,
+            call,
+        };
         if let Err(Rejected::Full(dispatch) | Rejected::Closed(dispatch)) =
             self.out.relay.offer(dispatch)
         {
@@ -120,17 +218,74 @@
     }
 
     fn done(&mut self, flight: FlightKey, call: Call, result: Result<Answer, Failure>) {
-        let ended = decide::free(&mut self.state, flight);
-        let attempt = ended.map_or(u64::MAX, |flight| flight.attempt);
+        let now = self.now();
         match result {
-            Ok(answer) => call.finish(Ok(answer)),
-            Err(failure) if decide::may_retry(self.settings, failure, attempt) => {
-                self.context.metrics.retry(failure.reason);
-                self.place(call, attempt + 1);
+            Ok(answer) => {
+                decide::succeed(&mut self.state, flight, now);
+                call.finish(Ok(answer));
+            }
+            Err(failure) => {
+                self.context.metrics.fail(failure.reason);
+                let ended = decide::fail(&mut self.state, self.settings, flight, failure, now);
+                let attempt = ended.map_or(u64::MAX, |flight| flight.attempt);
+                self.failed(call, failure, attempt, ended.map(|flight| flight.upstream));
             }
-            Err(failure) => call.finish(Err(refusal(failure))),
         }
     }
+
+    fn failed(&mut self, call: Call, failure: Failure, attempt: u64, avoid: Option<UpstreamKey>) {
+        let repeatable = self.context.topology.kind_row(call.meta.kind).repeatable;
+        if !decide::may_retry(self.settings, failure, attempt, repeatable) {
+            call.finish(Err(refusal(failure)));
+            return;
+        }
+        if !decide::pay(&mut self.state, self.settings, call.meta.kind) {
+            let reason = Reason::RetryBudget;
+            call.finish(Err(refusal(Failure { reason, ..failure })));
+            return;
+        }
+        self.context.metrics.retry(failure.reason);
+        // A repeatable request may run more than once, so that "not run" stays true only if no
+        // attempt may have run.
+        let call = if failure.ran == Ran::Unknown {
+            call.on_finish(|outcome, reply| reply(outcome.map_err(may_have_run)))
+        } else {
+            call
+        };
+        self.place(call, attempt + 1, avoid);
+    }
+
+    fn publish(&mut self) {
+        let now = self.now();
+        self.levelled = now;
+        let open = self.state.rows.values().filter(|row| row.is_open(now));
+        let (mut limit, mut used) = (0, 0);
+        for row in open {
+            limit += usize::from(row.said.slots);
+            used += usize::try_from(row.used()).unwrap_or(0);
+        }
+        let metrics = &self.context.metrics;
+        metrics.level("slots_limit", limit);
+        metrics.level("slots_free", limit.saturating_sub(used));
+        metrics.level("queue", self.state.waiting());
+        metrics.level("attempts", self.state.flights.len());
+    }
+
+    fn statuses(&self) -> Vec<Status> {
+        let now = self.now();
+        self.state
+            .rows
+            .values()
+            .map(|row| status(row, now))
+            .collect()
+    }
+}
+
+fn may_have_run(refusal: Refusal) -> Refusal {
+    Refusal {
+        ran: Ran::Unknown,
+        ..refusal
+    }
 }
 
 fn refusal(failure: Failure) -> Refusal {
@@ -140,12 +295,15 @@
     }
 }
 
-fn status(row: &Row) -> Status {
+fn status(row: &Row, now: Micros) -> Status {
     Status {
         name: row.said.name.clone(),
         service: row.said.service,
         limit: u32::from(row.said.slots),
         taken: row.taken,
-        open: row.is_open(),
+        inherited: row.inherited,
+        open: row.is_open(now),
+        absence: row.absence,
+        drained: row.drained,
     }
 }
--- a/src/spread/messages.rs
+++ b/src/spread/messages.rs
@@ -1,7 +1,7 @@
 //! Messages of the spread duty.
 
 use {
-    crate::{lookup, policy::Policy, ring::Sender, shift, slots},
+    crate::{announce, lookup, policy::Policy, ring::Sender, shift, slots},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
@@ -32,6 +32,8 @@
     pub lookup: Sender<lookup::Message>,
     /// Shifts move traffic.
     pub shift: Sender<shift::Message>,
+    /// A drained VM is no home.
+    pub announce: Sender<announce::Message>,
     /// Drained upstreams get no new work.
     pub slots: Sender<slots::Message>,
 }
@@ -41,6 +43,9 @@
     pub fn notify(&self, policy: &Arc<Policy>) {
         // A subscriber that has ended needs no configuration.
         let _ = self.slots.send(slots::Message::Policy(Arc::clone(policy)));
+        let _ = self
+            .announce
+            .send(announce::Message::Policy(Arc::clone(policy)));
         let _ = self
             .lookup
             .send(lookup::Message::Policy(Arc::clone(policy)));
