Add a scenario language with fakes of upstreams

Cause: no proof under failure ran against real processes. Ruled out: reading times as verdicts; every check counts or orders.

--- /dev/null
+++ b/tests/scenario.rs
@@ -0,0 +1,83 @@
+//! Scenarios: one file each under `tests/scenarios`, run against real processes.
+//!
+//! By hand: `SISKINSTEP_SCENARIO=FILE SISKINSTEP_SEED=1 cargo test --test scenario by_hand`.
+
+mod common;
+#[path = "scenario/fake.rs"]
+mod fake;
+#[path = "scenario/language.rs"]
+mod language;
+#[path = "scenario/relay.rs"]
+mod relay;
+#[path = "scenario/run.rs"]
+mod run;
+#[path = "scenario/world.rs"]
+mod world;
+
+const SEED: u64 = 1;
+
+fn play(path: &str, seed: u64) {
+    let text = std::fs::read_to_string(path).unwrap();
+    let lines = language::parse(&text).unwrap_or_else(|errors| {
+        let errors: Vec<String> = errors
+            .iter()
+            .map(|error| format!("{path}: {error}"))
+            .collect();
+        panic!("{}", errors.join("\n"));
+    });
+    let failures = run::run(&lines, seed);
+    assert!(
+        failures.is_empty(),
+        "{path}, seed {seed}:\n{}\nagain: SISKINSTEP_SCENARIO={path} SISKINSTEP_SEED={seed} \
+         cargo test --test scenario by_hand",
+        failures.join("\n")
+    );
+}
+
+macro_rules! scenarios {
+    ($($name:ident)*) => {
+        $(#[test]
+        fn $name() {
+            play(concat!("tests/scenarios/", stringify!($name), ".scn"), SEED);
+        })*
+
+        #[test]
+        fn every_file_is_listed() {
+            let mut listed = vec![$(concat!(stringify!($name), ".scn")),*];
+            listed.sort_unstable();
+            let folder = std::fs::read_dir("tests/scenarios").unwrap();
+            let mut found: Vec<String> = folder
+                .map(|file| file.unwrap().file_name().into_string().unwrap())
+                .collect();
+            found.sort_unstable();
+            assert_eq!(found, listed);
+        }
+    };
+}
+
+scenarios! {
+    answers_are_complete
+    drain_of_an_upstream
+    planned_stop
+    restart_of_an_entry
+    slots_are_not_exceeded
+}
+
+#[test]
+fn by_hand() {
+    if let Ok(path) = std::env::var("SISKINSTEP_SCENARIO") {
+        let seed = std::env::var("SISKINSTEP_SEED").ok();
+        play(
+            &path,
+            seed.and_then(|seed| seed.parse().ok()).unwrap_or(SEED),
+        );
+    }
+}
+
+#[test]
+fn errors_name_line_and_column() {
+    let errors = language::parse("control 1\n\nentry e1 at derwent-a # wrong\n").unwrap_err();
+    let places: Vec<usize> = errors.iter().map(|error| error.line).collect();
+    assert_eq!(places, [3]);
+    assert!(errors[0].to_string().starts_with("line 3, column"));
+}
