--- a/src/lookup/decide.rs
+++ b/src/lookup/decide.rs
@@ -9,7 +9,8 @@
 };
 
 /// Ranks the VMs that may be named: own zone, then own region, then the rest.
-pub(super) fn rank(state: &State, context: &Context, ttl_ms: u64) -> Table {
+#[must_use]
+pub fn rank(state: &State, context: &Context, ttl_ms: u64) -> Table {
     let mut vms: Vec<&Vm> = state
         .vms
         .iter()
--- a/src/lookup/mod.rs
+++ b/src/lookup/mod.rs
@@ -12,6 +12,7 @@
 mod thread;
 
 pub use {
+    decide::rank,
     messages::{Message, Ranked, Table},
     settings::Settings,
     thread::spawn,
