Fuzz the configuration's state machine with fixed seeds against a list of answers

Change: src/fuzz.rs makes bolero's inputs from counted seeds; the oracle is the list of commands with their first answers.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,9 @@
 //! Every duty is a module with its own state, messages and tests; each runs on a thread of its
 //! own, and bounded rings join them. `docs/DESIGN.md` gives the map.
 
+#[cfg(test)]
+mod fuzz;
+
 // Shared vocabulary.
 pub mod call;
 pub mod clock;
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,6 +1,12 @@
 //! Tests of the configuration's state machine.
 
-use super::{Amount, Cap, Change, Command, Drain, Place, Policy, Rejection, Shift, apply};
+use {
+    super::{
+        Accepted, Amount, Cap, Change, Command, Drain, Place, Policy, Rejection, Shift, apply,
+    },
+    crate::fuzz,
+    bolero::TypeGenerator,
+};
 
 fn command(id: &str, expected: u64, change: Change) -> Command {
     Command {
@@ -128,3 +134,95 @@
     };
     assert_eq!(findings.len(), 4, "{findings:?}");
 }
+
+/// One order of a fuzzed history; small domains, so that orders meet.
+#[derive(Clone, Debug, TypeGenerator)]
+struct Order {
+    id: u8,
+    stale: bool,
+    what: u8,
+    name: u8,
+    share: u8,
+    resend: bool,
+}
+
+impl Order {
+    fn command(&self, version: u64) -> Command {
+        let name = format!("n{}", self.name % 4);
+        let share = u16::from(self.share) * 5;
+        let change = match self.what % 6 {
+            0 | 1 => Change::PutShift(shift(&name, share)),
+            2 => Change::EndShift(name),
+            3 => Change::PutDrain(Drain::Vm(name)),
+            4 => Change::EndDrain(Drain::Vm(name)),
+            _ => Change::PutCap(Cap {
+                service: "cellwatch".to_owned(),
+                to: Place::Region("tamar".to_owned()),
+                amount: Amount::Permille(share),
+            }),
+        };
+        command(
+            &format!("c{}", self.id),
+            version.saturating_sub(u64::from(self.stale)),
+            change,
+        )
+    }
+}
+
+/// The oracle: the commands given, each with its first answer.
+type Given = Vec<(Command, Result<Accepted, Rejection>)>;
+
+fn check_order(state: &mut Policy, given: &mut Given, command: Command) {
+    let (before, first) = (
+        state.clone(),
+        given.iter().find(|(other, _)| other.id == command.id),
+    );
+    let answer = apply(state, command.clone());
+    match first {
+        Some((same, first)) if *same == command => {
+            assert_eq!(answer, *first, "a command sent again gets the same answer");
+            assert_eq!(*state, before, "and has no second effect");
+        }
+        Some(_) => assert!(matches!(answer, Err(Rejection::IdReused { .. }))),
+        None => {
+            let accepted = answer.is_ok();
+            assert_eq!(state.version, before.version + u64::from(accepted));
+            assert!(
+                !accepted || command.expected == before.version,
+                "one winner a version"
+            );
+            assert!(accepted || before.shifts == state.shifts && before.drains == state.drains);
+            given.push((command, answer));
+        }
+    }
+}
+
+fn check_limits(state: &Policy) {
+    let caps = state.shifts.iter().map(|shift| match shift.cap {
+        Amount::Permille(share) => u64::from(share),
+        Amount::PerSecond(_) => 0,
+    });
+    let sum: u64 = caps.sum();
+    assert!(sum <= 1_000, "all shifts leave one place");
+    for cap in &state.caps {
+        let Amount::Permille(limit) = cap.amount else {
+            continue;
+        };
+        assert!(sum <= u64::from(limit), "all shifts arrive at one place");
+    }
+}
+
+#[test]
+fn any_history_answers_alike_and_keeps_the_limits() {
+    fuzz::check(300, |orders: &Vec<Order>| {
+        let (mut state, mut given) = (Policy::default(), Given::new());
+        for order in orders {
+            let command = order.command(state.version);
+            check_order(&mut state, &mut given, command.clone());
+            if order.resend {
+                check_order(&mut state, &mut given, command);
+            }
+            check_limits(&state);
+        }
+    });
+}
