Explain a request: remember the latest decisions of each entry VM

Cause: an operator could not ask why a request went where it went. Ruled out: logging each decision, which costs a formatted line a request.

--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -1,6 +1,7 @@
 //! Serves the metrics and the slots of this process.
 
 use {
+    super::explain,
     crate::{
         context::Context,
         edge::{Handler, Incoming, Outgoing},
@@ -12,6 +13,8 @@
     tokio::sync::oneshot,
 };
 
+const EXPLAIN: &[u8] = b"/explain/";
+
 /// What the listener reads from.
 #[derive(Clone, Debug)]
 pub struct Board {
@@ -36,6 +39,9 @@
         match incoming.path() {
             b"/metrics" => Outgoing::new(200, "text/plain", self.context.metrics.text()),
             b"/status" => self.status().await,
+            path if path.starts_with(EXPLAIN) => {
+                explain::serve(&self.context, &path[EXPLAIN.len()..]).await
+            }
             _ => Outgoing::refusal(404, "unknown_path"),
         }
     }
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,5 +1,7 @@
-//! What an operator reads from one running process: `/metrics` as text, `/status` as JSON.
+//! What an operator reads from one running process: `/metrics` as text, `/status` and
+//! `/explain/REQUEST` as JSON.
 
+mod explain;
 mod handler;
 
 pub use handler::{Board, handler};
--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -104,6 +104,8 @@
     }
 }
 
-fn request_name(context: &Context, id: RequestId) -> String {
+/// The name of a request in answers and logs: VM, incarnation, id.
+#[must_use]
+pub fn request_name(context: &Context, id: RequestId) -> String {
     format!("{}-{:x}-{:x}", context.vm, context.incarnation, id.0)
 }
--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -6,6 +6,7 @@
         call::{Call, Outcome, Reason, Refusal},
         context::Context,
         edge::{Handler, Incoming, Outgoing},
+        explain::Step,
         keys::RequestId,
         lookup::Table,
         ring::{Rejected, Sender},
@@ -81,6 +82,7 @@
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         let outcome = self.run(id, incoming).await;
+        context.note(id, last_step(&outcome));
         encode::encode_outcome(context, id, outcome)
     }
 
@@ -89,6 +91,9 @@
             return Err(Refusal::not_run(Reason::Stopping));
         }
         let decoded = decode::decode(&self.front.context, id, incoming)?;
+        let version = self.front.tables.borrow().version;
+        let kind = decoded.meta.kind;
+        self.front.context.note(id, Step::Entered { kind, version });
         let (tx, rx) = oneshot::channel();
         let reply = Box::new(move |outcome| drop(tx.send(outcome)));
         let call = Call::new(decoded.meta, decoded.key, decoded.payload, reply);
@@ -100,3 +105,15 @@
         rx.await.unwrap_or(Err(Refusal::unknown(Reason::Stopping)))
     }
 }
+
+fn last_step(outcome: &Outcome) -> Step {
+    match outcome {
+        Ok(answer) => Step::Answered {
+            status: answer.status,
+        },
+        Err(refusal) => Step::Refused {
+            reason: refusal.reason,
+            ran: refusal.ran,
+        },
+    }
+}
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -7,6 +7,6 @@
 mod tests;
 
 pub use {
-    encode::{encode_outcome, status_of},
+    encode::{encode_outcome, request_name, status_of},
     handler::{Front, handler},
 };
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -76,6 +76,13 @@
             /// How many (default: 20).
             optional --limit count: usize
         }
+        /// Shows what was decided for a request, oldest first.
+        cmd explain {
+            /// Name of the request, from the header siskinstep-request.
+            required request: String
+            /// Admin address of the entry VM that answered it, IP:PORT.
+            required --entry address: SocketAddr
+        }
         /// Checks a settings file: entry FILE or control FILE.
         cmd check {
             /// Role: entry or control.
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         control, dev,
-        edge::Secret,
+        edge::{Secret, outbound},
         entry,
         observe::events,
         operator::{Operator, OperatorError},
@@ -20,12 +20,14 @@
         net::{Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
         process::ExitCode,
+        time::Duration,
     },
 };
 
 const DEFAULT_SECRET: &str = "siskinstep.secret";
 const DEFAULT_OPERATOR: &str = "operator";
 const DEFAULT_HISTORY: usize = 20;
+const READ_LIMIT: Duration = Duration::from_secs(5);
 const DEFAULT_CONTROL_PORT: u16 = 7_101;
 
 /// Why a verb failed.
@@ -43,8 +45,12 @@
     Settings { source: settings::SettingsError },
     #[snafu(display("{source}"), context(false))]
     Dev { source: dev::DevError },
+    #[snafu(display("{source}"), context(false))]
+    Http { source: ureq::Error },
     #[snafu(display("runtime: {source}"))]
     Runtime { source: std::io::Error },
+    #[snafu(display("not known there: {text}"))]
+    Unknown { text: String },
     #[snafu(display("{flag}: expected {expected}"))]
     Flag {
         flag: &'static str,
@@ -96,6 +102,7 @@
         }),
         SiskinstepCmd::Status(_) => session.status(),
         SiskinstepCmd::History(verb) => session.history(verb.limit.unwrap_or(DEFAULT_HISTORY)),
+        SiskinstepCmd::Explain(verb) => explain(verb.entry, &verb.request),
         SiskinstepCmd::Check(verb) => check(&verb.role, &verb.file),
         SiskinstepCmd::Events(_) => {
             print!("{}", events::table());
@@ -122,6 +129,17 @@
     Ok(())
 }
 
+fn explain(entry: SocketAddr, request: &str) -> Result<(), CliError> {
+    let target = format!("http://{entry}/explain/{request}");
+    let mut answer = outbound::agent(READ_LIMIT).get(target).call()?;
+    let text = answer.body_mut().read_to_string()?;
+    if !answer.status().is_success() {
+        return UnknownSnafu { text }.fail();
+    }
+    println!("{text}");
+    Ok(())
+}
+
 /// What the flags say that every verb shares.
 struct Session {
     control: Vec<SocketAddr>,
--- a/src/context.rs
+++ b/src/context.rs
@@ -1,7 +1,14 @@
 //! What every thread of a process is handed: who we are, the clock, the metrics.
 
 use {
-    crate::{clock::Clock, keys::ZoneKey, observe::Metrics, settings::topology::Topology},
+    crate::{
+        clock::Clock,
+        explain::{self, Note, Step},
+        keys::{RequestId, ZoneKey},
+        observe::Metrics,
+        ring::Sender,
+        settings::topology::Topology,
+    },
     std::sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -23,6 +30,8 @@
     pub clock: Clock,
     /// Instruments.
     pub metrics: Metrics,
+    /// Where decisions are noted, if anywhere.
+    pub notes: Option<Sender<explain::Message>>,
     stopping: Arc<AtomicBool>,
     inflight: Arc<AtomicUsize>,
 }
@@ -44,11 +53,22 @@
             topology,
             clock: Clock::start(),
             metrics: Metrics::new(),
+            notes: None,
             stopping: Arc::default(),
             inflight: Arc::default(),
         }
     }
 
+    /// Notes a decision about a request. With a full ring the note is lost and counted.
+    pub fn note(&self, request: RequestId, step: Step) {
+        let Some(notes) = &self.notes else { return };
+        let at = self.clock.now();
+        let note = Note { request, at, step };
+        if notes.offer(explain::Message::Note(note)).is_err() {
+            self.metrics.count("notes_lost", 1);
+        }
+    }
+
     /// Whether a graceful shutdown has begun.
     #[must_use]
     pub fn stopping(&self) -> bool {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -4,7 +4,7 @@
     crate::{
         announce,
         edge::Limits,
-        forward,
+        explain, forward,
         keys::ZoneKey,
         lookup, relay,
         settings::{section::Section, topology::Topology},
@@ -86,6 +86,8 @@
     pub relay: relay::Settings,
     /// Forwarding to other zones.
     pub forward: forward::Settings,
+    /// Remembered decisions.
+    pub explain: explain::Settings,
     /// Configuration.
     pub spread: spread::Settings,
 }
@@ -115,6 +117,7 @@
             slots: section.section("slots", slots::Settings::read),
             relay: section.section("relay", relay::Settings::read),
             forward: section.section("forward", forward::Settings::read),
+            explain: section.section("explain", explain::Settings::read),
             spread: section.section("spread", spread::Settings::read),
         }
     }
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -7,7 +7,7 @@
         callers::{self, Front},
         context::Context,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
-        forward, lookup,
+        explain, forward, lookup,
         observe::{Event, report},
         peers,
         relay::{self, Dispatch},
@@ -66,6 +66,7 @@
     announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
     slots: ring::Sender<slots::Message>,
+    explain: ring::Sender<explain::Message>,
     out: slots::Out,
 }
 
@@ -75,6 +76,7 @@
     announce: Ring<announce::Message>,
     shift: Ring<shift::Message>,
     slots: Ring<slots::Message>,
+    explain: Ring<explain::Message>,
     relay: Inbox<Dispatch>,
     forward: Inbox<forward::Message>,
 }
@@ -93,6 +95,7 @@
     let (announce, announce_end) = ring::bounded(capacity);
     let (shift, shift_end) = ring::bounded(capacity);
     let (slots, slots_end) = ring::bounded(capacity);
+    let (explain, explain_end) = ring::bounded(capacity);
     let (relay, relay_end) = ring::awaited(capacity);
     let (forward, forward_end) = ring::awaited(capacity);
     let rings = Rings {
@@ -100,6 +103,7 @@
         announce,
         shift,
         slots,
+        explain,
         out: slots::Out { relay, forward },
     };
     let ends = Ends {
@@ -107,6 +111,7 @@
         announce: announce_end,
         shift: shift_end,
         slots: slots_end,
+        explain: explain_end,
         relay: relay_end,
         forward: forward_end,
     };
@@ -120,8 +125,9 @@
     /// A thread or listener cannot start.
     pub fn start(settings: Settings, secret: &Secret) -> Result<Self, StartError> {
         let topology = Arc::new(settings.topology.clone());
-        let context = Context::new(&settings.vm, settings.zone, topology);
+        let mut context = Context::new(&settings.vm, settings.zone, topology);
         let (rings, ends) = rings(settings.ring);
+        context.notes = Some(rings.explain.clone());
         let (tables, tables_seen) = watch::channel(Arc::default());
         let mut stops = Vec::new();
         let mut threads = duties(
@@ -162,7 +168,8 @@
 
     /// Ends gracefully: look-ups stop naming this VM, new work is refused, work in flight ends.
     pub fn stop(self) {
-        report(Event::STOPPING, format_args!("entry {}", self.context.vm));
+        let vm = Arc::clone(&self.context.vm);
+        report(Event::STOPPING, format_args!("entry {vm}"));
         // The duty may have ended already, then nothing names this VM any more.
         let _ = self.rings.lookup.send(lookup::Message::Stopping);
         thread::sleep(Duration::from_millis(self.settings.linger_ms));
@@ -174,11 +181,12 @@
         self.open.admin.join();
         drop(self.rings);
         drop(self.stops);
+        drop(self.context);
         for thread in self.threads {
             // A panicked duty has been reported by the panic hook.
             let _ = thread.join();
         }
-        report(Event::STOPPED, format_args!("entry {}", self.context.vm));
+        report(Event::STOPPED, format_args!("entry {vm}"));
     }
 
     fn await_work(&self) {
@@ -241,7 +249,9 @@
         slots(),
         stop(),
     );
+    let explain = explain::spawn(settings.explain, ends.explain);
     Ok(vec![
+        named("explain", explain)?,
         named("lookup", lookup)?,
         named("announce", announce)?,
         named("shift", shift)?,
--- a/src/forward/thread.rs
+++ b/src/forward/thread.rs
@@ -11,6 +11,7 @@
         call::{Call, Outcome, Ran, Reason, Refusal},
         context::Context,
         edge::{Secret, secret::SECRET_HEADER},
+        explain::Step,
         relay::pool::{self, Connection, Pool},
         ring::{self, Inbox},
         slots,
@@ -101,6 +102,8 @@
     /// Sends the request to `peer` and reads its outcome.
     async fn exchange(&self, peer: &Peer, call: &mut Call) -> Outcome {
         decide::count(&mut self.state.borrow_mut(), &peer.name, true);
+        let address = peer.address;
+        self.context.note(call.meta.id, Step::Forwarded { address });
         let left = call.meta.deadline.since(self.context.clock.now());
         let outcome = time::timeout(left, self.attempt(peer, call, left)).await;
         decide::count(&mut self.state.borrow_mut(), &peer.name, false);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 // Edges and what an operator sees.
 pub mod admin;
 pub mod edge;
+pub mod explain;
 pub mod observe;
 
 // Processes.
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -10,6 +10,7 @@
     crate::{
         call::{Answer, Call, Ran, Reason, Refusal},
         context::Context,
+        explain::Step,
         forward,
         keys::FlightKey,
         policy::Policy,
@@ -97,6 +98,13 @@
 
     fn dispatch(&mut self, dispatch: Dispatch) {
         let flight = dispatch.flight;
+        let (id, address) = (dispatch.call.meta.id, dispatch.address);
+        let attempt = self
+            .state
+            .flights
+            .get(flight)
+            .map_or(0, |flight| flight.attempt);
+        self.context.note(id, Step::Dispatched { address, attempt });
         if let Err(Rejected::Full(dispatch) | Rejected::Closed(dispatch)) =
             self.out.relay.offer(dispatch)
         {
@@ -122,6 +130,10 @@
     fn done(&mut self, flight: FlightKey, call: Call, result: Result<Answer, Failure>) {
         let ended = decide::free(&mut self.state, flight);
         let attempt = ended.map_or(u64::MAX, |flight| flight.attempt);
+        if let Err(Failure { reason, ran }) = result {
+            self.context
+                .note(call.meta.id, Step::Failed { reason, ran });
+        }
         match result {
             Ok(answer) => call.finish(Ok(answer)),
             Err(failure) if decide::may_retry(self.settings, failure, attempt) => {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -19,18 +19,19 @@
     operators: SocketAddr,
     callers: SocketAddr,
     upstreams: SocketAddr,
+    admin: SocketAddr,
     entry: Process,
     _control: Process,
 }
 
 fn start() -> Small {
     let fleet = Fleet::new();
-    let [operators, peers, callers, upstreams] = [(); 4].map(|()| free_address());
+    let [operators, peers, callers, upstreams, admin] = [(); 5].map(|()| free_address());
     let mut settings = fleet.settings("control-1", "derwent-a");
     settings["listeners"] = json!({"operators": operators, "peers": peers});
     let control = fleet.start(CONTROL, &settings);
     let mut settings = fleet.settings("entry-1", "derwent-a");
-    settings["listeners"] = json!({"callers": callers, "upstreams": upstreams});
+    settings["listeners"] = json!({"callers": callers, "upstreams": upstreams, "admin": admin});
     settings["spread"] = json!({"control": [peers]});
     let entry = fleet.start(ENTRY, &settings);
     Small {
@@ -38,6 +39,7 @@
         operators,
         callers,
         upstreams,
+        admin,
         entry,
         _control: control,
     }
@@ -139,3 +141,26 @@
     small.entry.signal("TERM");
     assert!(small.entry.wait().success());
 }
+
+#[test]
+fn an_operator_can_ask_what_was_decided_for_a_request() {
+    let small = start();
+    let sample = Sample::start("u1", "cellwatch", 3, small.upstreams).unwrap();
+    let target = format!("http://{}/cellwatch/check", small.callers);
+    let answer = agent().post(target).send("x").unwrap();
+    let request = answer.headers()["siskinstep-request"].to_str().unwrap();
+    let admin = small.admin.to_string();
+    let explained = eventually("the decisions are noted", || {
+        let (done, text) = small.operate(&["explain", request, "--entry", &admin]);
+        Some(text).filter(|text| done && text.contains("answered"))
+    });
+    let steps: Value = serde_json::from_str(&explained).unwrap();
+    assert_eq!(steps[0]["step"]["entered"]["kind"], "check");
+    assert_eq!(
+        steps[1]["step"]["dispatched"]["upstream"],
+        sample.address.to_string()
+    );
+    assert_eq!(steps[2]["step"]["answered"]["status"], 200);
+    let (known, _) = small.operate(&["explain", "entry-1-0-1", "--entry", &admin]);
+    assert!(!known, "a request of another incarnation is not known");
+}
