--- a/src/announce/decide.rs
+++ b/src/announce/decide.rs
@@ -39,7 +39,7 @@
         token: Token::new(context, state.issued),
         lease_ms: settings.lease_ms,
         // An upstream without a lease echoes its first token at once.
-        renew_ms: if granted || said.leaving || state.closed {
+        renew_ms: if granted || said.leaving || state.closed || state.stopping {
             settings.renew_ms
         } else {
             0
@@ -106,7 +106,7 @@
     notices
 }
 
-/// Ends every lease when this VM is drained or stops; a later `closed` of false grants again.
+/// Ends every lease when this VM is drained; a later `closed` of false grants again.
 pub(crate) fn close(state: &mut State, closed: bool) -> Vec<Notice> {
     state.closed = closed;
     if !closed {
@@ -195,7 +195,7 @@
     said: &Announcement,
     elsewhere: bool,
 ) -> Vec<Notice> {
-    if said.leaving || state.closed || elsewhere {
+    if said.leaving || state.closed || state.stopping || elsewhere {
         return Vec::new();
     }
     let Some(lapses) = lapses(state, settings, context, now, said) else {
@@ -228,7 +228,7 @@
 ///
 /// Rendezvous hashing: a VM that comes or goes moves only the upstreams that it wins or had.
 fn better_home(state: &State, context: &Context, said: &Announcement) -> Option<SocketAddr> {
-    let own = (!state.closed).then(|| weight(&context.vm, said));
+    let own = (!state.closed && !state.stopping).then(|| weight(&context.vm, said));
     let near = state
         .homes
         .iter()
--- a/src/announce/messages.rs
+++ b/src/announce/messages.rs
@@ -74,7 +74,7 @@
     Homes(Vec<Home>),
     /// The configuration in force.
     Policy(Arc<Policy>),
-    /// This VM is shutting down: it renews no lease.
+    /// This VM is shutting down: its upstreams are sent to another home.
     Stopping,
 }
 
@@ -89,7 +89,7 @@
     Lapsed,
     /// It restarted, or announced another address or service.
     Replaced,
-    /// This VM is drained or stopping and is no home any more.
+    /// This VM is drained and is no home any more.
     Released,
 }
 
--- a/src/announce/state.rs
+++ b/src/announce/state.rs
@@ -28,8 +28,10 @@
     pub issued: Micros,
     /// Other VMs that can be a home.
     pub homes: Vec<Home>,
-    /// Whether this VM is a home no more: drained or stopping.
+    /// Whether this VM is drained and no home any more.
     pub closed: bool,
+    /// Whether this VM is shutting down: it keeps its upstreams until they have moved.
+    pub stopping: bool,
 }
 
 impl State {
--- a/src/announce/thread.rs
+++ b/src/announce/thread.rs
@@ -33,7 +33,6 @@
         settings,
         slots,
         state: State::default(),
-        stopping: false,
     };
     std::thread::Builder::new()
         .name("announce".to_owned())
@@ -45,7 +44,6 @@
     settings: Settings,
     slots: Sender<slots::Message>,
     state: State,
-    stopping: bool,
 }
 
 impl Duty {
@@ -71,14 +69,10 @@
             Message::Homes(homes) => self.state.homes = homes,
             Message::Policy(policy) => {
                 let drained = decide::is_drained(&policy, &self.context);
-                let notices = decide::close(&mut self.state, drained || self.stopping);
-                self.notify(notices);
-            }
-            Message::Stopping => {
-                self.stopping = true;
-                let notices = decide::close(&mut self.state, true);
+                let notices = decide::close(&mut self.state, drained);
                 self.notify(notices);
             }
+            Message::Stopping => self.state.stopping = true,
         }
     }
 
--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -7,6 +7,7 @@
         cancel,
         context::Context,
         edge::{Handler, Incoming, Outgoing},
+        explain::Step,
         keys::RequestId,
         lookup::Table,
         ring::{Rejected, Sender},
@@ -82,6 +83,7 @@
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         let outcome = self.run(id, incoming).await;
+        context.note(id, last_step(&outcome));
         encode::encode_outcome(context, id, outcome)
     }
 
@@ -90,6 +92,9 @@
             return Err(Refusal::not_run(Reason::Stopping));
         }
         let decoded = decode::decode(&self.front.context, id, incoming)?;
+        let version = self.front.tables.borrow().version;
+        let kind = decoded.meta.kind;
+        self.front.context.note(id, Step::Entered { kind, version });
         let (tx, rx) = oneshot::channel();
         let reply = Box::new(move |outcome| drop(tx.send(outcome)));
         let once = self.front.context.topology.kind_row(decoded.meta.kind).once;
@@ -108,3 +113,15 @@
         rx.await.unwrap_or(Err(Refusal::unknown(Reason::Stopping)))
     }
 }
+
+fn last_step(outcome: &Outcome) -> Step {
+    match outcome {
+        Ok(answer) => Step::Answered {
+            status: answer.status,
+        },
+        Err(refusal) => Step::Refused {
+            reason: refusal.reason,
+            ran: refusal.ran,
+        },
+    }
+}
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -14,6 +14,7 @@
         call::{Answer, Call, Ran, Reason, Refusal},
         clock::Micros,
         context::Context,
+        explain::Step,
         forward,
         keys::{FlightKey, ServiceKey, UpstreamKey, WaitKey},
         policy::Policy,
@@ -187,7 +188,10 @@
     }
 
     fn dispatch(&mut self, call: Call, grant: Grant) {
-        let flight = grant.flight;
+        let (flight, address) = (grant.flight, grant.address);
+        let attempt = self.state.flights[flight].attempt;
+        let step = Step::Dispatched { address, attempt };
+        self.context.note(call.meta.id, step);
         let dispatch = Dispatch {
             flight,
             address: grant.address,
@@ -225,7 +229,10 @@
                 call.finish(Ok(answer));
             }
             Err(failure) => {
-                self.context.metrics.fail(failure.reason);
+                let Failure { reason, ran } = failure;
+                self.context.metrics.fail(reason);
+                self.context
+                    .note(call.meta.id, Step::Failed { reason, ran });
                 let ended = decide::fail(&mut self.state, self.settings, flight, failure, now);
                 let attempt = ended.map_or(u64::MAX, |flight| flight.attempt);
                 self.failed(call, failure, attempt, ended.map(|flight| flight.upstream));
