--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -80,6 +80,27 @@
     reused: bool,
 }
 
+/// Tells whether an answer is to the request, for upstreams that name it.
+struct Naming<'a> {
+    name: String,
+    holder: &'a Arc<str>,
+    last: &'a RefCell<Option<Arc<str>>>,
+}
+
+impl Naming<'_> {
+    /// An upstream that has named requests in this life names them all.
+    fn is_own(&self, named: Option<&HeaderValue>) -> bool {
+        let Some(named) = named else {
+            return self.last.borrow().as_ref() != Some(self.holder);
+        };
+        let own = *named == self.name;
+        if own {
+            *self.last.borrow_mut() = Some(Arc::clone(self.holder));
+        }
+        own
+    }
+}
+
 /// Makes the attempt. The connection is pooled only after a complete answer; otherwise it is
 /// dropped, so that a late answer reaches nobody.
 pub(super) async fn run(
@@ -113,7 +134,12 @@
     }
     let request = encode(tools, call, target, left)?;
     let heard = Cell::new(false);
-    let exchange = exchange(tools, &mut connection, call, request, &heard);
+    let naming = Naming {
+        name: request_name(tools, call),
+        holder: &target.holder,
+        last: &path.naming,
+    };
+    let exchange = exchange(tools, &mut connection, call, request, &naming, &heard);
     let Ok(answer) = time::timeout(left, exchange).await else {
         if reused && !heard.get() {
             // Something between the two ends may have lost track of connections this old.
@@ -169,6 +195,7 @@
     connection: &mut Connection,
     call: &mut Call,
     request: Request<Full<Bytes>>,
+    naming: &Naming<'_>,
     heard: &Cell<bool>,
 ) -> Result<Answer, Failure> {
     call.mark_sent();
@@ -184,15 +211,14 @@
         }
     };
     heard.set(true);
-    check(tools, call, &response)?;
+    check(naming, call, &response)?;
     read(tools, response).await
 }
 
 /// Refuses an answer that is none to this request, or whose end could not be told.
-fn check(tools: &Tools, call: &mut Call, response: &Response<Body>) -> Result<(), Failure> {
+fn check(naming: &Naming, call: &mut Call, response: &Response<Body>) -> Result<(), Failure> {
     let headers = response.headers();
-    let named = headers.get(REQUEST_HEADER);
-    if named.is_some_and(|name| *name != request_name(tools, call)) {
+    if !naming.is_own(headers.get(REQUEST_HEADER)) {
         return Err(unknown(Reason::AnswerMismatch));
     }
     if says_not_run(response) {
