--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -4,12 +4,13 @@
     super::explain,
     crate::{
         context::Context,
+        drain::{self, Progress},
         edge::{Handler, Incoming, Outgoing},
         ring::Sender,
         slots::{self, Status},
     },
     serde_json::{Value, json},
-    std::rc::Rc,
+    std::{fmt, rc::Rc, sync::Arc},
     tokio::sync::oneshot,
 };
 
@@ -22,6 +23,45 @@
     pub context: Context,
     /// Slot counts, on an entry VM.
     pub slots: Option<Sender<slots::Message>>,
+    /// Progress of drains, on an entry VM.
+    pub drain: Option<Sender<drain::Message>>,
+    /// Messages that wait in each ring.
+    pub depths: Depths,
+}
+
+/// Reads how many messages wait in each ring, by the name of its level.
+#[derive(Clone, Default)]
+pub struct Depths {
+    read: Option<Arc<ReadDepths>>,
+}
+
+type ReadDepths = dyn Fn() -> Vec<(&'static str, usize)> + Send + Sync;
+
+impl Depths {
+    /// Makes a reader.
+    ///
+    /// ```
+    /// let depths = siskinstep::admin::Depths::new(|| vec![("ring_slots", 3)]);
+    /// assert_eq!(depths.read(), [("ring_slots", 3)]);
+    /// ```
+    #[must_use]
+    pub fn new(read: impl Fn() -> Vec<(&'static str, usize)> + Send + Sync + 'static) -> Self {
+        Self {
+            read: Some(Arc::new(read)),
+        }
+    }
+
+    /// The depths now.
+    #[must_use]
+    pub fn read(&self) -> Vec<(&'static str, usize)> {
+        self.read.as_ref().map(|read| read()).unwrap_or_default()
+    }
+}
+
+impl fmt::Debug for Depths {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.read()).finish()
+    }
 }
 
 /// Serves `/metrics` and `/status`.
@@ -37,7 +77,7 @@
 impl Board {
     async fn serve(&self, incoming: &Incoming) -> Outgoing {
         match incoming.path() {
-            b"/metrics" => Outgoing::new(200, "text/plain", self.context.metrics.text()),
+            b"/metrics" => self.metrics(),
             b"/status" => self.status().await,
             path if path.starts_with(EXPLAIN) => {
                 explain::serve(&self.context, &path[EXPLAIN.len()..]).await
@@ -46,8 +86,16 @@
         }
     }
 
+    fn metrics(&self) -> Outgoing {
+        for (name, depth) in self.depths.read() {
+            self.context.metrics.level(name, depth);
+        }
+        Outgoing::new(200, "text/plain", self.context.metrics.text())
+    }
+
     async fn status(&self) -> Outgoing {
         let upstreams = self.upstreams().await;
+        let drains: Vec<Value> = self.drains().await.iter().map(drain_row).collect();
         let rows: Vec<Value> = upstreams.iter().map(|row| self.row(row)).collect();
         let body = json!({
             "vm": &*self.context.vm,
@@ -55,6 +103,7 @@
             "stopping": self.context.stopping(),
             "inflight": self.context.inflight(),
             "upstreams": rows,
+            "drains": drains,
         });
         Outgoing::new(200, "application/json", body.to_string())
     }
@@ -71,6 +120,18 @@
         rx.await.unwrap_or_default()
     }
 
+    async fn drains(&self) -> Vec<Progress> {
+        let Some(drain) = &self.drain else {
+            return Vec::new();
+        };
+        let (tx, rx) = oneshot::channel();
+        let reply = Box::new(move |rows| drop(tx.send(rows)));
+        if drain.offer(drain::Message::Read(reply)).is_err() {
+            return Vec::new();
+        }
+        rx.await.unwrap_or_default()
+    }
+
     fn row(&self, row: &Status) -> Value {
         json!({
             "name": row.name,
@@ -82,3 +143,14 @@
         })
     }
 }
+
+fn drain_row(row: &Progress) -> Value {
+    json!({
+        "drain": row.drain.to_string(),
+        "cause": row.cause.name(),
+        "age_ms": row.age_ms,
+        "left": row.left,
+        "done": row.took_ms.is_some(),
+        "took_ms": row.took_ms,
+    })
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -4,4 +4,4 @@
 mod explain;
 mod handler;
 
-pub use handler::{Board, handler};
+pub use handler::{Board, Depths, handler};
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -86,6 +86,8 @@
         let board = admin::Board {
             context: context.clone(),
             slots: None,
+            drain: None,
+            depths: admin::Depths::default(),
         };
         let admin = listen(
             "admin",
--- /dev/null
+++ b/src/drain/thread.rs
@@ -0,0 +1,85 @@
+//! The thread of the drain duty.
+
+use {
+    super::{
+        decide::{self, Change, Place},
+        messages::Message,
+        state::State,
+    },
+    crate::{
+        context::Context,
+        observe::{Event, report},
+        ring::{Ring, Wait},
+    },
+    std::{io, thread::JoinHandle, time::Duration},
+};
+
+const IDLE: Duration = Duration::from_mins(1);
+/// While this VM itself is drained, its requests in flight are counted this often.
+const COUNT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Starts the duty.
+///
+/// # Errors
+/// The thread cannot start.
+pub fn spawn(context: Context, ring: Ring<Message>) -> io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("drain".to_owned())
+        .spawn(move || run(&context, &ring))
+}
+
+fn run(context: &Context, ring: &Ring<Message>) {
+    let zones = &context.topology.zones;
+    let zone = zones
+        .get(usize::from(context.zone.0))
+        .map_or("", |zone| &zone.name);
+    let place = Place {
+        vm: &context.vm,
+        zone,
+    };
+    let mut state = State::default();
+    loop {
+        let wait = if state.is_counting() {
+            COUNT_INTERVAL
+        } else {
+            IDLE
+        };
+        let now = || context.clock.now();
+        match ring.recv_within(wait) {
+            Wait::Message(Message::Work { policy, closing }) => {
+                let changes = decide::work(&mut state, place, &policy, &closing, now());
+                tell(context, changes);
+            }
+            Wait::Message(Message::Read(reply)) => reply(decide::progress(&state, now())),
+            Wait::Timeout => {}
+            Wait::Closed => return,
+        }
+        let changes = decide::count(&mut state, context.inflight(), now());
+        tell(context, changes);
+        context.metrics.level("draining", state.running());
+    }
+}
+
+fn tell(context: &Context, changes: Vec<Change>) {
+    for change in changes {
+        match change {
+            Change::Began(drain, cause) => {
+                report(
+                    Event::DRAIN_BEGAN,
+                    format_args!("{drain} ({})", cause.name()),
+                );
+            }
+            Change::Done(drain, cause, took_ms) => {
+                let cause = cause.name();
+                report(
+                    Event::DRAIN_DONE,
+                    format_args!("{drain} ({cause}) after {took_ms} ms"),
+                );
+                context.metrics.count("drains_done", 1);
+                context.metrics.count("drain_ms_sum", took_ms);
+                let took = usize::try_from(took_ms).unwrap_or(usize::MAX);
+                context.metrics.level("drain_ms", took);
+            }
+        }
+    }
+}
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -6,6 +6,7 @@
         admin, announce,
         callers::{self, Front},
         context::Context,
+        drain,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
         explain, forward, lookup,
         observe::{Event, report},
@@ -77,6 +78,7 @@
     shift: Ring<shift::Message>,
     slots: Ring<slots::Message>,
     explain: Ring<explain::Message>,
+    drain: Ring<drain::Message>,
     relay: Inbox<Dispatch>,
     forward: Inbox<forward::Message>,
 }
@@ -96,6 +98,7 @@
     let (shift, shift_end) = ring::bounded(capacity);
     let (slots, slots_end) = ring::bounded(capacity);
     let (explain, explain_end) = ring::bounded(capacity);
+    let (drain, drain_end) = ring::bounded(capacity);
     let (relay, relay_end) = ring::awaited(capacity);
     let (forward, forward_end) = ring::awaited(capacity);
     let rings = Rings {
@@ -104,7 +107,11 @@
         shift,
         slots,
         explain,
-        out: slots::Out { relay, forward },
+        out: slots::Out {
+            relay,
+            forward,
+            drain,
+        },
     };
     let ends = Ends {
         lookup: lookup_end,
@@ -112,6 +119,7 @@
         shift: shift_end,
         slots: slots_end,
         explain: explain_end,
+        drain: drain_end,
         relay: relay_end,
         forward: forward_end,
     };
@@ -250,8 +258,10 @@
         slots(),
         stop(),
     );
+    let drain = drain::spawn(context.clone(), ends.drain);
     let explain = explain::spawn(settings.explain, ends.explain);
     Ok(vec![
+        named("drain", drain)?,
         named("explain", explain)?,
         named("lookup", lookup)?,
         named("announce", announce)?,
@@ -289,6 +299,23 @@
     thread.context(ThreadSnafu { name: "spread" })
 }
 
+/// Reads how many messages wait in each ring.
+fn depths(rings: &Rings) -> admin::Depths {
+    let rings = rings.clone();
+    admin::Depths::new(move || {
+        vec![
+            ("ring_announce", rings.announce.depth()),
+            ("ring_drain", rings.out.drain.depth()),
+            ("ring_explain", rings.explain.depth()),
+            ("ring_forward", rings.out.forward.depth()),
+            ("ring_lookup", rings.lookup.depth()),
+            ("ring_relay", rings.out.relay.depth()),
+            ("ring_shift", rings.shift.depth()),
+            ("ring_slots", rings.slots.depth()),
+        ]
+    })
+}
+
 /// Opens the listeners.
 fn open(
     context: &Context,
@@ -319,6 +346,8 @@
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
+        drain: Some(rings.out.drain.clone()),
+        depths: depths(rings),
     };
     let callers = Box::new(move || callers::handler(front));
     let upstreams = Box::new(move || announce::handler(&told, announce));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 // Duties of an entry VM.
 pub mod announce;
 pub mod callers;
+pub mod drain;
 pub mod forward;
 pub mod lookup;
 pub mod peers;
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -47,6 +47,8 @@
     CONFIG_APPLIED = 1301 Info "Configuration applied", "None.";
     CONTROL_UNREACHABLE = 1302 Warn "No control VM could be reached", "Check control VMs and the network; traffic goes on with the last configuration.";
     RING_FULL = 1401 Warn "Ring between two duties was full", "The VM is overloaded; add entry VMs.";
+    DRAIN_BEGAN = 2301 Info "Drain began", "None.";
+    DRAIN_DONE = 2302 Info "Drain complete: nothing in flight", "What was drained may be stopped once every VM says so.";
 }
 
 /// Writes an event to the log.
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -10,16 +10,17 @@
         state::{Request, Row, State},
     },
     crate::{
-        announce,
+        announce::{self, Absence},
         call::{Answer, Call, Ran, Reason, Refusal},
         clock::Micros,
         context::Context,
+        drain::{self, Cause, Closing},
         explain::Step,
         forward,
         keys::{FlightKey, ServiceKey, UpstreamKey, WaitKey},
         policy::Policy,
         relay::{Dispatch, Failure},
-        ring::{Outbox, Rejected, Ring, Wait},
+        ring::{Outbox, Rejected, Ring, Sender, Wait},
     },
     slotmap::SecondaryMap,
     std::{io, sync::Arc, thread::JoinHandle, time::Duration},
@@ -46,6 +47,7 @@
         state: State::default(),
         policy: Arc::default(),
         calls: SecondaryMap::default(),
+        told: None,
     };
     std::thread::Builder::new()
         .name("slots".to_owned())
@@ -59,6 +61,8 @@
     pub relay: Outbox<Dispatch>,
     /// Requests for another zone.
     pub forward: Outbox<forward::Message>,
+    /// News of upstreams that get no new work.
+    pub drain: Sender<drain::Message>,
 }
 
 struct Duty {
@@ -69,6 +73,8 @@
     policy: Arc<Policy>,
     /// Calls of the requests that wait.
     calls: SecondaryMap<WaitKey, Call>,
+    /// What the drain duty was last told; `None` when it has to be told anew.
+    told: Option<Vec<Closing>>,
     /// When the levels were last published.
     levelled: Micros,
 }
@@ -84,6 +90,7 @@
             let now = self.now();
             decide::settle(&mut self.state, now);
             self.pump();
+            self.tell_drain();
             if self.now().since(self.levelled) >= LEVELS_INTERVAL {
                 self.publish();
             }
@@ -107,6 +114,7 @@
                 let drained = announce::is_drained(&policy, &self.context);
                 decide::apply_policy(&mut self.state, &policy, drained);
                 self.policy = policy;
+                self.told = None;
             }
             Message::Read(reply) => reply(self.statuses()),
         }
@@ -262,6 +270,20 @@
         self.place(call, attempt + 1, avoid);
     }
 
+    /// Tells the drain duty which upstreams get no new work, if that has changed.
+    fn tell_drain(&mut self) {
+        let closing: Vec<Closing> = self.state.rows.values().filter_map(closing).collect();
+        if self.told.as_ref() == Some(&closing) {
+            return;
+        }
+        let message = drain::Message::Work {
+            policy: Arc::clone(&self.policy),
+            closing: closing.clone(),
+        };
+        let sent = self.out.drain.offer(message);
+        self.told = sent.is_ok().then_some(closing);
+    }
+
     fn publish(&mut self) {
         let now = self.now();
         self.levelled = now;
@@ -302,6 +324,22 @@
     }
 }
 
+fn closing(row: &Row) -> Option<Closing> {
+    let cause = match row.absence {
+        Some(Absence::Leaving) => Cause::Leaving,
+        Some(Absence::Lapsed) => Cause::Lapsed,
+        Some(Absence::Moved | Absence::Replaced) => Cause::Moved,
+        Some(Absence::Released) => Cause::Operator,
+        None if row.drained => Cause::Operator,
+        None => return None,
+    };
+    Some(Closing {
+        name: row.said.name.clone(),
+        cause,
+        left: row.taken,
+    })
+}
+
 fn status(row: &Row, now: Micros) -> Status {
     Status {
         name: row.said.name.clone(),
