--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod agree;
 pub mod operator;
 pub mod policy;
+pub mod storage;
 
 // Edges and what an operator sees.
 pub mod admin;
--- /dev/null
+++ b/src/storage/thread.rs
@@ -0,0 +1,78 @@
+//! The thread of the storage duty.
+
+use {
+    super::{
+        folder::Folder,
+        messages::{Ack, Batch, Recovered},
+    },
+    crate::ring::{Ring, Wait},
+    std::{io, thread::JoinHandle, time::Duration},
+};
+
+const RETRY: Duration = Duration::from_millis(500);
+
+/// What the duty is told.
+pub enum Message {
+    /// Make this durable.
+    Write(Batch),
+    /// Set everything aside and start again as the disk of that identity.
+    Renew(u64),
+}
+
+/// What the duty tells.
+pub enum Report {
+    /// Of the batch given last.
+    Ack(Ack),
+    /// The folder is empty again.
+    Renewed(Recovered),
+}
+
+/// Starts the duty; it ends when its ring closes. Without a folder nothing is kept.
+///
+/// # Errors
+/// The thread cannot start.
+pub fn spawn(
+    mut folder: Option<Folder>,
+    ring: Ring<Message>,
+    tell: impl Fn(Report) + Send + 'static,
+) -> io::Result<JoinHandle<()>> {
+    let run = move || {
+        while let Some(message) = ring.recv() {
+            match message {
+                Message::Write(batch) => write(folder.as_mut(), &batch, &ring, &tell),
+                Message::Renew(disk) => renew(folder.as_mut(), disk, &tell),
+            }
+        }
+    };
+    std::thread::Builder::new()
+        .name("storage".to_owned())
+        .spawn(run)
+}
+
+/// Tries until the batch is durable or the ring closes.
+fn write(folder: Option<&mut Folder>, batch: &Batch, ring: &Ring<Message>, tell: &impl Fn(Report)) {
+    let Some(folder) = folder else {
+        tell(Report::Ack(Ack::Synced));
+        return;
+    };
+    while let Err(error) = folder.write(batch) {
+        let detail = error.to_string();
+        tell(Report::Ack(Ack::Failed { detail }));
+        // No other message comes before the acknowledgement.
+        if matches!(ring.recv_within(RETRY), Wait::Closed) {
+            return;
+        }
+    }
+    tell(Report::Ack(Ack::Synced));
+}
+
+fn renew(folder: Option<&mut Folder>, disk: u64, tell: &impl Fn(Report)) {
+    let Some(folder) = folder else { return };
+    match folder.renew(disk) {
+        Ok(recovered) => tell(Report::Renewed(recovered)),
+        Err(error) => {
+            let detail = error.to_string();
+            tell(Report::Ack(Ack::Failed { detail }));
+        }
+    }
+}
