Replicate the log of commands among control VMs

A vote, a term and entries are durable before any message that promises them leaves; reads wait for a quorum that answers a later message, so no clock is trusted for them. A disk has an identity: a lost one comes back as another, which learns first and votes only by a committed change of members. A disk that peers know to have promised more than it holds is set aside.

Found by the fuzz: a fresh disk whose settings do not name the leader was never repaired (a welcome now names the members), and a member removed and added again did not show itself.

--- /dev/null
+++ b/src/agree/apply.rs
@@ -0,0 +1,107 @@
+//! Applies committed entries to the configuration, answers who waits, and takes snapshots.
+
+use {
+    super::{
+        decide::{Effect, Note, Step},
+        elect,
+        state::{State, content},
+        wire::{Content, Image, Members},
+    },
+    crate::{
+        keys::{DiskKey, TicketKey},
+        policy::{self, Command},
+        storage::{Entry, Position, Snapshot},
+    },
+    std::sync::Arc,
+};
+
+/// Applies everything that is committed.
+pub(super) fn apply(step: &mut Step<'_>) {
+    let before = step.state.machine.version;
+    while step.state.applied < step.state.commit {
+        let index = step.state.applied + 1;
+        let Some(entry) = step.state.log.get(index).cloned() else {
+            break;
+        };
+        step.state.applied = index;
+        apply_one(step, &entry);
+    }
+    if step.state.machine.version != before {
+        step.out.push(Effect::Publish);
+    }
+    take_snapshot(step.state);
+}
+
+fn apply_one(step: &mut Step<'_>, entry: &Entry) {
+    match content(entry) {
+        Some(Content::Command(json)) => command(step, entry.at, &json),
+        Some(Content::Members(members)) => members_changed(step, entry.at.index, &members),
+        Some(Content::Nothing) | None => {}
+    }
+}
+
+fn command(step: &mut Step<'_>, at: Position, json: &[u8]) {
+    let Ok(command) = serde_json::from_slice::<Command>(json) else {
+        return;
+    };
+    let answer = policy::apply(Arc::make_mut(&mut step.state.machine), command);
+    if let Some(ticket) = waiting(step.state, at) {
+        let answer = Ok(answer);
+        step.out.push(Effect::Answer { ticket, answer });
+    }
+}
+
+/// Who waits for the entry at that place.
+fn waiting(state: &mut State, at: Position) -> Option<TicketKey> {
+    let submits = &mut state.leading()?.submits;
+    let first = submits.front().filter(|row| row.at == at)?;
+    let ticket = first.ticket;
+    submits.pop_front();
+    Some(ticket)
+}
+
+fn members_changed(step: &mut Step<'_>, index: u64, members: &Members) {
+    step.note(Note::MembersChanged);
+    let own = step.state.hard.disk;
+    let Some(leading) = step.state.leading() else {
+        return;
+    };
+    if let Some((_, ticket)) = leading.change.take_if(|change| change.0 == index)
+        && let Some(ticket) = ticket
+    {
+        let answer = Ok(Ok(()));
+        step.out.push(Effect::Changed { ticket, answer });
+    }
+    if !members.votes(own) && !step.state.votes() {
+        let term = step.state.hard.term;
+        elect::follow(step, term, DiskKey(0));
+    }
+}
+
+/// Takes a snapshot when enough was applied since the last one.
+fn take_snapshot(state: &mut State) {
+    let before = state.snapshot.as_ref().map_or(0, |row| row.at.index);
+    if state.applied < before + state.settings.snapshot_entries {
+        return;
+    }
+    let index = state.applied;
+    let Some(term) = state.log.term_at(index) else {
+        return;
+    };
+    let row = state.members.iter().rposition(|(from, _)| *from <= index);
+    let Some((_, members)) = row.and_then(|row| state.members.get(row)) else {
+        return;
+    };
+    let snapshot = Snapshot {
+        at: Position { term, index },
+        body: Image::encode(members, &state.machine),
+    };
+    state.members.drain(..row.unwrap_or(0));
+    state.queue.snapshot = Some(snapshot.clone());
+    state.snapshot = Some(snapshot);
+    // A few entries stay in memory for members that are only a little behind.
+    let keep = state.settings.snapshot_entries / 2;
+    state
+        .log
+        .compact(index.saturating_sub(keep).max(state.log.base().index));
+}
--- a/src/agree/messages.rs
+++ b/src/agree/messages.rs
@@ -1,9 +1,13 @@
 //! Messages of the agree duty.
 
 use {
-    crate::policy::{Accepted, Command, Policy, Rejection},
+    super::wire::{Envelope, Member},
+    crate::{
+        policy::{Accepted, Command, Policy, Rejection},
+        storage,
+    },
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// Why this replica cannot take a command or answer a read now.
@@ -31,6 +35,45 @@
 /// The answer to a submitted command.
 pub type Submitted = Result<Result<Accepted, Rejection>, Unavailable>;
 
+/// A change of the cluster's members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberChange {
+    /// Adds a control VM; it counts towards the quorum once it has caught up.
+    Add {
+        /// Name of the VM.
+        name: String,
+        /// Its listener for peers.
+        peers: SocketAddr,
+        /// Its listener for operators.
+        operators: SocketAddr,
+    },
+    /// Removes a control VM.
+    Remove {
+        /// Name of the VM.
+        name: String,
+    },
+}
+
+/// One control VM as the leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// The member.
+    #[serde(flatten)]
+    pub member: Member,
+    /// Whether it leads.
+    pub leads: bool,
+    /// Entries that it still lacks.
+    pub behind: u64,
+    /// Whether the leader has heard from it within the election time-out.
+    pub alive: bool,
+}
+
+/// The answer to a change of members: the members, or why it was refused.
+pub type Changed = Result<Result<Vec<MemberStatus>, String>, Unavailable>;
+
+/// Takes the answer to a peer's message, if there is one.
+pub type PeerReply = Box<dyn FnOnce(Option<Envelope>) + Send>;
+
 /// What the duty is told.
 pub enum Message {
     /// An operator's command.
@@ -45,4 +88,22 @@
         /// Takes the configuration in force.
         reply: Box<dyn FnOnce(Result<Arc<Policy>, Unavailable>) + Send>,
     },
+    /// A change of members, or with `None` a read of them under a quorum.
+    Members {
+        /// What to change.
+        change: Option<MemberChange>,
+        /// Takes the answer.
+        reply: Box<dyn FnOnce(Changed) + Send>,
+    },
+    /// Another replica's message.
+    Peer {
+        /// What it says.
+        envelope: Envelope,
+        /// Takes the answer, if the peer waits for one.
+        reply: Option<PeerReply>,
+    },
+    /// What the storage duty says.
+    Storage(storage::Report),
+    /// Ends the duty; who still waits is answered with [`Unavailable`].
+    Stop,
 }
--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -1,9 +1,28 @@
-//! Agreement on the order of operators' commands.
+//! Agreement on the order of operators' commands: a replicated log among the control VMs.
+//!
+//! One replica leads for a term. A command is accepted once a quorum has it on disk; it then takes
+//! effect on every replica in the order of the log.
 
+mod apply;
+mod decide;
+mod elect;
+mod install;
+mod join;
+mod log;
+mod member;
 pub mod messages;
+mod replicate;
+pub mod settings;
+mod state;
+#[cfg(test)]
+mod tests;
 mod thread;
+pub mod transport;
+pub mod wire;
 
 pub use {
-    messages::{Message, Submitted, Unavailable},
-    thread::spawn,
+    messages::{Changed, MemberChange, MemberStatus, Message, Submitted, Unavailable},
+    settings::{Listed, Settings},
+    thread::{Outlets, Setup, spawn},
+    wire::{Envelope, Member},
 };
--- /dev/null
+++ b/src/agree/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the replicated log: scripted ones, and a state machine fuzzed with faults.
+
+mod fuzz;
+mod scripted;
+mod world;
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -6,8 +6,12 @@
         admin, agree,
         context::Context,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError, rpc},
+        keys::DiskKey,
         observe::{Event, report},
-        operator, ring, spread,
+        operator,
+        policy::Policy,
+        ring, spread,
+        storage::{self, Folder, Hard, Recovered, StorageError},
     },
     jsonrpsee::{RpcModule, core::RegisterMethodError},
     snafu::{ResultExt, Snafu},
@@ -15,6 +19,9 @@
     tokio::sync::watch,
 };
 
+/// The storage duty is given one batch at a time, or a renewal beside it.
+const STORAGE_RING: usize = 2;
+
 /// Why a control VM could not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -32,6 +39,12 @@
         /// What the system said.
         source: io::Error,
     },
+    /// The data folder cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    Storage {
+        /// Why.
+        source: StorageError,
+    },
     /// Two RPC methods have one name.
     #[snafu(display("{source}"), context(false))]
     Register {
@@ -61,8 +74,12 @@
         let context = Context::new(&settings.vm, settings.zone, topology);
         let (agree, agree_ring) = ring::bounded(settings.ring);
         let (policies, policies_seen) = watch::channel(Arc::default());
-        let thread = agree::spawn(context.clone(), agree_ring, policies);
-        let thread = thread.context(ThreadSnafu { name: "agree" })?;
+        let replica = Replica {
+            ring: agree_ring,
+            sender: agree.clone(),
+            policies,
+        };
+        let threads = start_replica(settings, &context, secret, replica)?;
         let listeners = settings.listeners;
         let (inner, ring) = (context.clone(), agree.clone());
         let operators = listen(
@@ -75,6 +92,7 @@
         )?;
         let mut module = RpcModule::new(());
         spread::register(&mut module, policies_seen)?;
+        agree::transport::register(&mut module, agree.clone())?;
         let peers = listen(
             "peers",
             listeners.peers,
@@ -102,7 +120,7 @@
             peers,
             admin,
             ring: agree,
-            threads: vec![thread],
+            threads,
         })
     }
 
@@ -131,7 +149,8 @@
         self.operators.join();
         self.peers.join();
         self.admin.join();
-        drop(self.ring);
+        // The duty may have ended already.
+        let _ = self.ring.send(agree::Message::Stop);
         for thread in self.threads {
             // A panicked duty has been reported by the panic hook.
             let _ = thread.join();
@@ -140,6 +159,70 @@
     }
 }
 
+/// The ends of the rings that the replica's threads take.
+struct Replica {
+    ring: ring::Ring<agree::Message>,
+    sender: ring::Sender<agree::Message>,
+    policies: watch::Sender<Arc<Policy>>,
+}
+
+/// Starts the threads of the data folder, of the peers' messages and of the decisions.
+fn start_replica(
+    settings: &Settings,
+    context: &Context,
+    secret: &Secret,
+    replica: Replica,
+) -> Result<Vec<JoinHandle<()>>, StartError> {
+    let (folder, found) = open_folder(&settings.data_dir)?;
+    let (storage, storage_ring) = ring::bounded(STORAGE_RING);
+    let reports = replica.sender.clone();
+    let tell = move |report| drop(reports.send(agree::Message::Storage(report)));
+    let keeper = storage::spawn(folder, storage_ring, tell);
+    let keeper = keeper.context(ThreadSnafu { name: "storage" })?;
+    let sender = agree::transport::spawn(context.clone(), secret.clone(), replica.sender);
+    let (peers, courier) = sender.context(ThreadSnafu {
+        name: "agree-peers",
+    })?;
+    let me = settings.listed();
+    let mut agree = settings.agree.clone();
+    if agree.members.is_empty() {
+        agree.members.push(me.clone());
+    }
+    let setup = agree::Setup {
+        settings: agree,
+        me,
+        found,
+    };
+    let outlets = agree::Outlets {
+        storage,
+        peers,
+        policies: replica.policies,
+    };
+    let decider = agree::spawn(context.clone(), setup, replica.ring, outlets);
+    let decider = decider.context(ThreadSnafu { name: "agree" })?;
+    Ok(vec![decider, keeper, courier])
+}
+
+/// Opens the data folder; without one, nothing outlives the process.
+fn open_folder(path: &str) -> Result<(Option<Folder>, Recovered), StartError> {
+    let fresh = DiskKey(rand::random::<u64>() | 1);
+    if !path.is_empty() {
+        let (folder, found) = Folder::open(path.as_ref(), fresh)?;
+        return Ok((Some(folder), found));
+    }
+    report(Event::NOT_KEPT, format_args!("trial"));
+    let hard = Hard {
+        disk: fresh,
+        boot: 1,
+        ..Hard::default()
+    };
+    let found = Recovered {
+        hard,
+        ..Recovered::default()
+    };
+    Ok((None, found))
+}
+
 fn refuse_all(error: &RegisterMethodError) -> Handler {
     report(Event::FATAL, format_args!("{error}"));
     rpc::handler(RpcModule::new(()))
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -33,7 +33,17 @@
 )]
 pub struct RequestId(pub u64);
 
+/// Identity of a control VM's disk, drawn when its data folder was made; zero is none.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct DiskKey(pub u64);
+
 new_key_type! {
+    /// An operator's call that waits for its answer, with a generation.
+    pub struct TicketKey;
+    /// A peer's call that waits for its answer, with a generation.
+    pub struct ExchangeKey;
     /// An upstream's row in an arena, with a generation.
     pub struct UpstreamKey;
     /// An attempt in flight, with a generation.
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -47,6 +47,17 @@
     CONFIG_APPLIED = 1301 Info "Configuration applied", "None.";
     CONTROL_UNREACHABLE = 1302 Warn "No control VM could be reached", "Check control VMs and the network; traffic goes on with the last configuration.";
     RING_FULL = 1401 Warn "Ring between two duties was full", "The VM is overloaded; add entry VMs.";
+    LEADING = 2001 Info "This control VM leads", "None.";
+    DEPOSED = 2002 Warn "This control VM no longer leads", "None, if another one leads soon; otherwise check the control VMs and the network.";
+    FOUNDED = 2003 Info "Cluster founded", "None; once in the life of a cluster.";
+    MEMBERS_CHANGED = 2004 Info "Members of the cluster changed", "None; `siskinstep members` shows them.";
+    OTHER_CLUSTER = 2005 Error "Message from a control VM of another cluster", "Check `members` and addresses in the settings of both.";
+    CONTRADICTION = 2006 Error "A leader contradicts a committed entry", "Keep the data folders of all control VMs and report it.";
+    OLD_DISK = 2007 Warn "Data folder is older than what this disk promised", "None; it is set aside and this VM learns anew. Find out who restored it.";
+    DISK_FAILED = 2008 Error "Data folder takes no writes", "Free space or replace the disk; writes are tried again.";
+    DISK_BACK = 2009 Info "Data folder takes writes again", "None.";
+    DISK_RENEWED = 2010 Info "This control VM starts again as a new disk", "None; it counts again once it has caught up.";
+    NOT_KEPT = 2011 Warn "No `data_dir`: accepted configuration is lost when the process ends", "Set `data_dir`, except for a trial.";
 }
 
 /// Writes an event to the log.
--- a/src/storage/folder.rs
+++ b/src/storage/folder.rs
@@ -8,6 +8,7 @@
         messages::{Batch, Hard, Recovered, Snapshot},
         recover::{Found, SegmentFile, recover},
     },
+    crate::keys::DiskKey,
     std::{
         fs::{self, File, OpenOptions, TryLockError},
         io::{self, Seek, SeekFrom, Write},
@@ -36,16 +37,16 @@
     /// Another process holds the folder, it is unreadable, or its data is damaged.
     ///
     /// ```
-    /// use siskinstep::storage::Folder;
+    /// use siskinstep::{keys::DiskKey, storage::Folder};
     /// let place = std::env::temp_dir().join(format!("siskinstep-doc-{}", std::process::id()));
-    /// let (folder, recovered) = Folder::open(&place, 7)?;
-    /// assert_eq!((recovered.hard.disk, recovered.hard.boot), (7, 1));
-    /// assert!(Folder::open(&place, 7).is_err(), "one process at a time");
+    /// let (folder, recovered) = Folder::open(&place, DiskKey(7))?;
+    /// assert_eq!((recovered.hard.disk, recovered.hard.boot), (DiskKey(7), 1));
+    /// assert!(Folder::open(&place, DiskKey(7)).is_err(), "one process at a time");
     /// # drop(folder);
     /// # std::fs::remove_dir_all(&place).ok();
     /// # Ok::<(), siskinstep::storage::StorageError>(())
     /// ```
-    pub fn open(path: &Path, fresh: u64) -> Result<(Self, Recovered), StorageError> {
+    pub fn open(path: &Path, fresh: DiskKey) -> Result<(Self, Recovered), StorageError> {
         fs::create_dir_all(path).map_err(io_error(path))?;
         let lock = lock(path)?;
         let found = recover(path)?;
@@ -54,7 +55,7 @@
             segments,
             void,
         } = found.unwrap_or_default();
-        if recovered.hard.disk == 0 {
+        if recovered.hard.disk == DiskKey(0) {
             recovered.hard.disk = fresh;
         }
         recovered.hard.boot += 1;
@@ -99,8 +100,8 @@
     ///
     /// # Errors
     /// The system refused an operation.
-    pub fn renew(&mut self, fresh: u64) -> io::Result<Recovered> {
-        let aside = self.path.join(format!("set-aside-{fresh:016x}"));
+    pub fn renew(&mut self, fresh: DiskKey) -> io::Result<Recovered> {
+        let aside = self.path.join(format!("set-aside-{:016x}", fresh.0));
         fs::create_dir_all(&aside)?;
         for row in fs::read_dir(&self.path)? {
             let row = row?;
--- a/src/storage/messages.rs
+++ b/src/storage/messages.rs
@@ -1,6 +1,7 @@
 //! What the storage duty keeps, and what it is told.
 
 use {
+    crate::keys::DiskKey,
     bytes::Bytes,
     serde::{Deserialize, Serialize},
 };
@@ -29,7 +30,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hard {
     /// Identity of this disk, drawn when the data folder was made; never zero.
-    pub disk: u64,
+    pub disk: DiskKey,
     /// Number of starts on this disk.
     pub boot: u64,
     /// Identity of the cluster, zero until known.
@@ -37,7 +38,7 @@
     /// Latest term seen.
     pub term: u64,
     /// Disk voted for in that term, zero for none.
-    pub vote: u64,
+    pub vote: DiskKey,
 }
 
 /// The state that the log up to `at` builds.
--- a/src/storage/tests.rs
+++ b/src/storage/tests.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Batch, Entry, Folder, Hard, Position, Recovered, Snapshot, StorageError},
+    crate::keys::DiskKey,
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         fs,
@@ -10,6 +11,8 @@
     tempfile::TempDir,
 };
 
+const DISK: DiskKey = DiskKey(9);
+
 fn entry(term: u64, index: u64) -> Entry {
     let content = format!("{term}.{index}").repeat(3).into();
     Entry {
@@ -36,7 +39,7 @@
 }
 
 fn reopen(place: &Path) -> Result<Recovered, StorageError> {
-    Folder::open(place, 9).map(|(_, recovered)| recovered)
+    Folder::open(place, DISK).map(|(_, recovered)| recovered)
 }
 
 fn newest_log(place: &Path) -> PathBuf {
@@ -83,7 +86,7 @@
             1 => snapshot(term, self.base.index + random.random_range(1..30), true),
             2 => Batch {
                 hard: Some(Hard {
-                    disk: 9,
+                    disk: DISK,
                     boot: 50,
                     term,
                     ..Hard::default()
@@ -104,7 +107,7 @@
         let random = &mut StdRng::seed_from_u64(seed);
         let place = TempDir::new().unwrap();
         let mut oracle = Oracle::default();
-        let (mut folder, _) = Folder::open(place.path(), 9).unwrap();
+        let (mut folder, _) = Folder::open(place.path(), DISK).unwrap();
         for term in 1..60 {
             let batch = oracle.next(random, term);
             folder.write(&batch).unwrap();
@@ -112,7 +115,7 @@
             if random.random_ratio(1, 8) {
                 drop(folder);
                 let recovered;
-                (folder, recovered) = Folder::open(place.path(), 9).unwrap();
+                (folder, recovered) = Folder::open(place.path(), DISK).unwrap();
                 assert_eq!(recovered.entries, oracle.rows, "seed {seed} term {term}");
                 let base = recovered.snapshot.map(|snapshot| snapshot.at);
                 assert_eq!(base.unwrap_or_default(), oracle.base, "seed {seed}");
@@ -127,7 +130,7 @@
 #[test]
 fn a_cut_at_any_byte_leaves_whole_batches() {
     let place = TempDir::new().unwrap();
-    let (mut folder, _) = Folder::open(place.path(), 9).unwrap();
+    let (mut folder, _) = Folder::open(place.path(), DISK).unwrap();
     for first in [1, 3, 5] {
         folder.write(&entries(1, first..=first + 1)).unwrap();
     }
@@ -148,7 +151,7 @@
 #[test]
 fn a_flipped_byte_is_reported_with_its_file_and_never_skipped() {
     let place = TempDir::new().unwrap();
-    let (mut folder, _) = Folder::open(place.path(), 9).unwrap();
+    let (mut folder, _) = Folder::open(place.path(), DISK).unwrap();
     folder.write(&entries(1, 1..=3)).unwrap();
     folder.write(&snapshot(1, 2, false)).unwrap();
     folder.write(&entries(1, 4..=5)).unwrap();
@@ -187,7 +190,7 @@
 #[test]
 fn a_lost_hard_state_is_no_fresh_disk() {
     let place = TempDir::new().unwrap();
-    let (mut folder, _) = Folder::open(place.path(), 9).unwrap();
+    let (mut folder, _) = Folder::open(place.path(), DISK).unwrap();
     folder.write(&entries(1, 1..=1)).unwrap();
     drop(folder);
     fs::remove_file(place.path().join("state")).unwrap();
@@ -198,7 +201,7 @@
 #[test]
 fn a_missing_segment_is_reported() {
     let place = TempDir::new().unwrap();
-    let (mut folder, _) = Folder::open(place.path(), 9).unwrap();
+    let (mut folder, _) = Folder::open(place.path(), DISK).unwrap();
     folder.write(&entries(1, 1..=3)).unwrap();
     folder.write(&snapshot(1, 1, false)).unwrap();
     folder.write(&entries(1, 4..=5)).unwrap();
@@ -215,12 +218,12 @@
 #[test]
 fn a_crash_while_a_foreign_snapshot_is_installed_voids_the_old_log() {
     let place = TempDir::new().unwrap();
-    let (mut folder, _) = Folder::open(place.path(), 9).unwrap();
+    let (mut folder, _) = Folder::open(place.path(), DISK).unwrap();
     folder.write(&entries(1, 1..=9)).unwrap();
     drop(folder);
     let foreign = snapshot(2, 5, true).snapshot.unwrap();
     super::files::replace(place.path(), "snapshot-00000000000000000005", &foreign).unwrap();
-    let (mut folder, recovered) = Folder::open(place.path(), 9).unwrap();
+    let (mut folder, recovered) = Folder::open(place.path(), DISK).unwrap();
     assert_eq!((recovered.entries, recovered.commit), (vec![], 5));
     folder.write(&entries(2, 6..=7)).unwrap();
     drop(folder);
@@ -230,11 +233,14 @@
 #[test]
 fn a_renewed_folder_is_another_disk() {
     let place = TempDir::new().unwrap();
-    let (mut folder, _) = Folder::open(place.path(), 9).unwrap();
+    let (mut folder, _) = Folder::open(place.path(), DISK).unwrap();
     folder.write(&entries(1, 1..=3)).unwrap();
-    assert_eq!(folder.renew(10).unwrap().hard.disk, 10);
+    assert_eq!(folder.renew(DiskKey(10)).unwrap().hard.disk, DiskKey(10));
     folder.write(&entries(4, 1..=1)).unwrap();
     drop(folder);
     let recovered = reopen(place.path()).unwrap();
-    assert_eq!((recovered.hard.disk, recovered.entries.len()), (10, 1));
+    assert_eq!(
+        (recovered.hard.disk, recovered.entries.len()),
+        (DiskKey(10), 1)
+    );
 }
--- a/src/storage/thread.rs
+++ b/src/storage/thread.rs
@@ -5,7 +5,10 @@
         folder::Folder,
         messages::{Ack, Batch, Recovered},
     },
-    crate::ring::{Ring, Wait},
+    crate::{
+        keys::DiskKey,
+        ring::{Ring, Wait},
+    },
     std::{io, thread::JoinHandle, time::Duration},
 };
 
@@ -16,7 +19,7 @@
     /// Make this durable.
     Write(Batch),
     /// Set everything aside and start again as the disk of that identity.
-    Renew(u64),
+    Renew(DiskKey),
 }
 
 /// What the duty tells.
@@ -66,7 +69,7 @@
     tell(Report::Ack(Ack::Synced));
 }
 
-fn renew(folder: Option<&mut Folder>, disk: u64, tell: &impl Fn(Report)) {
+fn renew(folder: Option<&mut Folder>, disk: DiskKey, tell: &impl Fn(Report)) {
     let Some(folder) = folder else { return };
     match folder.renew(disk) {
         Ok(recovered) => tell(Report::Renewed(recovered)),
