Check promises against the disks in the agreement fuzz

The world now compares each promise with the sender's disk, each commit with the disks of a quorum, and each membership with the one before.

--- a/src/agree/tests/world.rs
+++ b/src/agree/tests/world.rs
@@ -5,15 +5,15 @@
         decide::{self, Effect, Input, Note},
         messages::{MemberChange, Unavailable},
         settings::{Listed, Settings},
-        state::State,
-        wire::{Envelope, Members},
+        state::{State, content},
+        wire::{Body, Content, Envelope, Members},
     },
     crate::{
         clock::Micros,
         keys::{DiskKey, TicketKey},
         policy::{Accepted, Change, Command, Drain, Rejection},
         sorted::Sorted,
-        storage::{Ack, Batch, Entry, Hard, Recovered},
+        storage::{Ack, Batch, Entry, Hard, Position, Recovered},
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     slotmap::SlotMap,
@@ -78,6 +78,8 @@
     /// The command that made each version.
     winners: Sorted<u64, String>,
     leaders: Sorted<u64, DiskKey>,
+    /// Voters of the latest committed members.
+    voters: Vec<DiskKey>,
     /// Newest version that any answer has shown.
     pub(super) newest: u64,
     pub(super) accepted: usize,
@@ -100,6 +102,8 @@
     serial: u64,
     tickets: SlotMap<TicketKey, Asked>,
     pub(super) notes: Vec<(usize, Note)>,
+    /// Disks as they were when they were lost.
+    lost: Vec<Recovered>,
 }
 
 pub(super) fn address(node: usize) -> SocketAddr {
@@ -142,6 +146,7 @@
             serial: 0,
             tickets: SlotMap::default(),
             notes: Vec::new(),
+            lost: Vec::new(),
         };
         for node in 0..size {
             world.lose_disk(node);
@@ -199,6 +204,7 @@
 
     pub(super) fn lose_disk(&mut self, node: usize) {
         let disk = DiskKey(self.random.random::<u64>() | 1);
+        self.lost.push(self.nodes[node].disk.clone());
         self.nodes[node].disk = Recovered {
             hard: Hard {
                 disk,
@@ -358,6 +364,7 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, envelope: &Envelope) {
+        check_promise(&self.nodes[from].disk, envelope);
         let to = usize::from(to.port() - 9_000);
         let pair = (from.min(to), from.max(to));
         let copies = 1 + u32::from(self.random.random_ratio(self.weather.doubled, 1_000));
@@ -477,10 +484,43 @@
             };
             match self.oracle.chosen.get(&index) {
                 Some(chosen) => assert_eq!(chosen, entry, "node {node} index {index}"),
-                None => drop(self.oracle.chosen.insert(index, entry.clone())),
+                None => {
+                    self.oracle.chosen.insert(index, entry.clone());
+                    check_members(&mut self.oracle.voters, entry);
+                }
             }
         }
+        let leads = state.leads() && state.commit > row.checked;
         row.checked = state.commit;
+        if leads {
+            self.check_commit(node);
+        }
+    }
+
+    /// A leader commits only with an entry of its own term, which a quorum of voters has on disk.
+    fn check_commit(&self, leader: usize) {
+        let state = self.nodes[leader].state.as_ref().unwrap();
+        let (index, term) = (state.commit, state.hard.term);
+        assert_eq!(
+            state.log.term_at(index),
+            Some(term),
+            "an entry of an old term is committed"
+        );
+        let members = state.members();
+        let holds = |disk: &&Recovered| {
+            let mut entries = disk.entries.iter();
+            let found = entries.any(|entry| entry.at == Position { term, index });
+            let base = disk.snapshot.as_ref().map_or(0, |row| row.at.index);
+            members.votes(disk.hard.disk) && (found || base >= index)
+        };
+        // A disk may be lost after it has answered; until it is replaced nobody is elected without
+        // the others that hold the entry.
+        let disks = self.nodes.iter().map(|row| &row.disk).chain(&self.lost);
+        let count = disks.filter(holds).count();
+        assert!(
+            count >= members.quorum(),
+            "{index} is committed by {count} disks"
+        );
     }
 
     /// Ends all faults, and checks that the cluster takes commands and every replica agrees.
@@ -575,3 +615,53 @@
         disk.commit = disk.commit.max(batch.commit);
     }
 }
+
+/// What a message promises must be on the sender's disk before the message leaves.
+fn check_promise(disk: &Recovered, envelope: &Envelope) {
+    let hard = disk.hard;
+    match envelope.body {
+        Body::Vote {
+            trial: false,
+            granted: true,
+            term,
+            ..
+        } => assert_eq!(
+            (hard.term, hard.vote),
+            (term, envelope.to),
+            "vote not durable"
+        ),
+        Body::Ask {
+            trial: false, term, ..
+        } => assert_eq!(
+            (hard.term, hard.vote),
+            (term, hard.disk),
+            "own vote not durable"
+        ),
+        Body::Appended {
+            agrees: true,
+            matched,
+            ..
+        } => {
+            let base = disk.snapshot.as_ref().map_or(0, |row| row.at.index);
+            let last = disk.entries.last().map_or(base, |entry| entry.at.index);
+            assert!(last >= matched, "{matched} acknowledged, {last} durable");
+        }
+        _ => {}
+    }
+    assert!(hard.term >= envelope.term, "term not durable");
+}
+
+/// Two memberships that follow each other differ by at most one voter, so that quorums overlap.
+fn check_members(before: &mut Vec<DiskKey>, entry: &Entry) {
+    let Some(Content::Members(members)) = content(entry) else {
+        return;
+    };
+    let now: Vec<DiskKey> = members.voters().collect();
+    let gone = before.iter().filter(|disk| !now.contains(disk)).count();
+    let new = now.iter().filter(|disk| !before.contains(disk)).count();
+    assert!(
+        before.is_empty() || gone + new <= 1,
+        "{gone} voters went and {new} came at once"
+    );
+    *before = now;
+}
