Let operators see and change the members, and follow the leader

Three RPC methods and verbs (members, add-member, remove-member). The client goes to the address that a refusal names as the leader's, and goes round until another leader can have been elected; the id makes it safe.

--- a/src/agree/member.rs
+++ b/src/agree/member.rs
@@ -153,10 +153,13 @@
         let is_self = member.disk == own;
         let matched = if is_self { last } else { matched.unwrap_or(0) };
         MemberStatus {
-            member: member.clone(),
+            name: member.name.clone(),
+            peers: member.peers,
+            operators: member.operators,
+            voter: member.voter,
             leads: member.disk == state.leader && member.disk != DiskKey(0),
-            behind: last.saturating_sub(matched),
             alive: is_self || is_alive(state, member.disk, now),
+            behind: last.saturating_sub(matched),
         }
     };
     state.members().rows.iter().map(row).collect()
--- a/src/agree/messages.rs
+++ b/src/agree/messages.rs
@@ -1,7 +1,7 @@
 //! Messages of the agree duty.
 
 use {
-    super::wire::{Envelope, Member},
+    super::wire::Envelope,
     crate::{
         policy::{Accepted, Command, Policy, Rejection},
         storage,
@@ -32,6 +32,25 @@
     Unknown,
 }
 
+impl Unavailable {
+    /// Name of the counter of this reason.
+    ///
+    /// ```
+    /// use siskinstep::agree::Unavailable;
+    /// assert_eq!(Unavailable::NoQuorum.counter(), "unavailable_no_quorum");
+    /// ```
+    #[must_use]
+    pub const fn counter(&self) -> &'static str {
+        match self {
+            Self::NotLeader { .. } => "unavailable_not_leader",
+            Self::NoQuorum => "unavailable_no_quorum",
+            Self::Disk { .. } => "unavailable_disk",
+            Self::Busy => "unavailable_busy",
+            Self::Unknown => "unavailable_unknown",
+        }
+    }
+}
+
 /// The answer to a submitted command.
 pub type Submitted = Result<Result<Accepted, Rejection>, Unavailable>;
 
@@ -57,15 +76,20 @@
 /// One control VM as the leader sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
-    /// The member.
-    #[serde(flatten)]
-    pub member: Member,
+    /// Name of the VM.
+    pub name: String,
+    /// Its listener for peers.
+    pub peers: SocketAddr,
+    /// Its listener for operators.
+    pub operators: SocketAddr,
+    /// Whether it counts towards the quorum; otherwise it only learns.
+    pub voter: bool,
     /// Whether it leads.
     pub leads: bool,
-    /// Entries that it still lacks.
-    pub behind: u64,
     /// Whether the leader has heard from it within the election time-out.
     pub alive: bool,
+    /// Entries that it still lacks.
+    pub behind: u64,
 }
 
 /// The answer to a change of members: the members, or why it was refused.
--- a/src/agree/tests/world.rs
+++ b/src/agree/tests/world.rs
@@ -482,13 +482,12 @@
             let Some(entry) = state.log.get(index) else {
                 continue;
             };
-            match self.oracle.chosen.get(&index) {
-                Some(chosen) => assert_eq!(chosen, entry, "node {node} index {index}"),
-                None => {
-                    self.oracle.chosen.insert(index, entry.clone());
-                    check_members(&mut self.oracle.voters, entry);
-                }
-            }
+            let Some(chosen) = self.oracle.chosen.get(&index) else {
+                self.oracle.chosen.insert(index, entry.clone());
+                check_members(&mut self.oracle.voters, entry);
+                continue;
+            };
+            assert_eq!(chosen, entry, "node {node} index {index}");
         }
         let leads = state.leads() && state.commit > row.checked;
         row.checked = state.commit;
--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -191,12 +191,20 @@
 
     fn answer(&mut self, ticket: TicketKey, answer: Submitted) {
         self.context.metrics.count("commands", 1);
+        self.count(answer.as_ref().err());
         if let Some(Waiting::Submit(reply)) = self.waiting.remove(ticket) {
             reply(answer);
         }
     }
 
+    fn count(&self, reason: Option<&Unavailable>) {
+        if let Some(reason) = reason {
+            self.context.metrics.count(reason.counter(), 1);
+        }
+    }
+
     fn answer_read(&mut self, ticket: TicketKey, answer: Result<(), Unavailable>) {
+        self.count(answer.as_ref().err());
         match self.waiting.remove(ticket) {
             Some(Waiting::Read(reply)) => {
                 reply(answer.map(|()| Arc::clone(&self.state.machine)));
@@ -211,6 +219,7 @@
         ticket: TicketKey,
         answer: Result<Result<(), String>, Unavailable>,
     ) {
+        self.count(answer.as_ref().err());
         if let Some(Waiting::Members(reply)) = self.waiting.remove(ticket) {
             reply(answer.map(|done| done.map(|()| self.members())));
         }
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -83,6 +83,23 @@
             /// Admin address of the entry VM that answered it, IP:PORT.
             required --entry address: SocketAddr
         }
+        /// Shows the control VMs and how far each is.
+        cmd members {
+        }
+        /// Adds a control VM; it counts once it has caught up.
+        cmd add-member {
+            /// Name of the VM.
+            required name: String
+            /// Its listener for peers, IP:PORT.
+            required --peers address: SocketAddr
+            /// Its listener for operators, IP:PORT.
+            required --operators address: SocketAddr
+        }
+        /// Removes a control VM for good.
+        cmd remove-member {
+            /// Name of the VM.
+            required name: String
+        }
         /// Checks a settings file: entry FILE or control FILE.
         cmd check {
             /// Role: entry or control.
--- a/src/cli/render.rs
+++ b/src/cli/render.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        agree::MemberStatus,
         operator::Status,
         policy::{Accepted, state::Receipt},
     },
@@ -63,3 +64,19 @@
     let lines: Vec<String> = receipts.iter().map(line).collect();
     lines.join("\n")
 }
+
+pub(super) fn members(members: &[MemberStatus]) -> String {
+    let line = |row: &MemberStatus| {
+        let role = match (row.leads, row.voter) {
+            (true, _) => "leads",
+            (false, true) => "votes",
+            (false, false) => "learns",
+        };
+        let seen = if row.alive { "alive" } else { "silent" };
+        let (name, peers, operators) = (&row.name, row.peers, row.operators);
+        let behind = row.behind;
+        format!("{name} peers {peers} operators {operators}: {role}, {seen}, {behind} behind")
+    };
+    let lines: Vec<String> = members.iter().map(line).collect();
+    lines.join("\n")
+}
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -7,6 +7,7 @@
         render::{self, Format},
     },
     crate::{
+        agree::MemberChange,
         control, dev,
         edge::{Secret, outbound},
         entry,
@@ -103,6 +104,15 @@
         SiskinstepCmd::Status(_) => session.status(),
         SiskinstepCmd::History(verb) => session.history(verb.limit.unwrap_or(DEFAULT_HISTORY)),
         SiskinstepCmd::Explain(verb) => explain(verb.entry, &verb.request),
+        SiskinstepCmd::Members(_) => session.members(None),
+        SiskinstepCmd::AddMember(verb) => session.members(Some(&MemberChange::Add {
+            name: verb.name,
+            peers: verb.peers,
+            operators: verb.operators,
+        })),
+        SiskinstepCmd::RemoveMember(verb) => {
+            session.members(Some(&MemberChange::Remove { name: verb.name }))
+        }
         SiskinstepCmd::Check(verb) => check(&verb.role, &verb.file),
         SiskinstepCmd::Events(_) => {
             print!("{}", events::table());
@@ -234,6 +244,17 @@
         Ok(())
     }
 
+    fn members(&self, change: Option<&MemberChange>) -> Result<(), CliError> {
+        let operator = self.connect()?;
+        let runtime = runtime()?;
+        let members = match change {
+            Some(change) => runtime.block_on(operator.change_members(change))?,
+            None => runtime.block_on(operator.members())?,
+        };
+        render::print(self.format, &members, |members| render::members(members));
+        Ok(())
+    }
+
     fn connect(&self) -> Result<Operator, CliError> {
         let secret = Secret::load(&self.secret)?;
         Ok(Operator::new(self.control.clone(), secret))
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -3,16 +3,24 @@
 use {
     super::encode::Status,
     crate::{
-        edge::{Secret, client::Client},
+        agree::{MemberChange, MemberStatus, Unavailable},
+        edge::{Secret, client::Client, rpc::UNAVAILABLE},
         policy::{Accepted, Command, state::Receipt},
     },
     jsonrpsee::core::ClientError,
     serde::{Serialize, de::DeserializeOwned},
     snafu::Snafu,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
 };
 
-const CALL_LIMIT: Duration = Duration::from_secs(5);
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+/// Time in which another leader can have been elected.
+const TOTAL_LIMIT: Duration = Duration::from_secs(12);
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
 
 /// Why a call brought no answer.
 #[derive(Debug, Snafu)]
@@ -27,8 +35,8 @@
         /// Typed detail as JSON.
         detail: String,
     },
-    /// No control VM answered.
-    #[snafu(display("no control VM answered:\n{}", tried.join("\n")))]
+    /// No control VM answered; the same command with the same id may be sent again.
+    #[snafu(display("no control VM answered; send it again with the same id:\n{}", tried.join("\n")))]
     NoAnswer {
         /// Each address with what happened there.
         tried: Vec<String>,
@@ -82,27 +90,77 @@
             .await
     }
 
+    /// Reads the control VMs and how far each is.
+    ///
+    /// # Errors
+    /// No control VM answered.
+    pub async fn members(&self) -> Result<Vec<MemberStatus>, OperatorError> {
+        self.call("members", &serde_json::json!({})).await
+    }
+
+    /// Adds or removes a control VM. Sending it again is safe.
+    ///
+    /// # Errors
+    /// The change was refused, or no control VM answered.
+    pub async fn change_members(
+        &self,
+        change: &MemberChange,
+    ) -> Result<Vec<MemberStatus>, OperatorError> {
+        match change {
+            MemberChange::Add {
+                name,
+                peers,
+                operators,
+            } => {
+                let params =
+                    serde_json::json!({"name": name, "peers": peers, "operators": operators});
+                self.call("add_member", &params).await
+            }
+            MemberChange::Remove { name } => {
+                let params = serde_json::json!({ "name": name });
+                self.call("remove_member", &params).await
+            }
+        }
+    }
+
+    /// Goes round the control VMs, the one that is said to lead first, until one answers.
     async fn call<T: DeserializeOwned>(
         &self,
         method: &str,
         params: &impl Serialize,
     ) -> Result<T, OperatorError> {
-        let mut tried = Vec::new();
-        for address in &self.addresses {
-            match self.call_one(*address, method, params).await {
-                Ok(answer) => return Ok(answer),
-                Err(ClientError::Call(error)) if error.code() != crate::edge::rpc::UNAVAILABLE => {
-                    return RefusedSnafu {
-                        code: error.code(),
-                        message: error.message(),
-                        detail: error.data().map_or("", |data| data.get()),
+        let start = Instant::now();
+        let mut next = self.addresses.clone();
+        loop {
+            let mut tried = Vec::new();
+            let mut hint = None;
+            while let Some(address) = (!next.is_empty()).then(|| next.remove(0)) {
+                let error = match self.call_one(address, method, params).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(error) => error,
+                };
+                if let ClientError::Call(refusal) = &error {
+                    if refusal.code() != UNAVAILABLE {
+                        return RefusedSnafu {
+                            code: refusal.code(),
+                            message: refusal.message(),
+                            detail: refusal.data().map_or("", |data| data.get()),
+                        }
+                        .fail();
                     }
-                    .fail();
+                    hint = leader(refusal.data().map_or("", |data| data.get()));
                 }
-                Err(error) => tried.push(format!("{address}: {error}")),
+                tried.push(format!("{address}: {error}"));
+                if hint.is_some() {
+                    break;
+                }
+            }
+            if start.elapsed() >= TOTAL_LIMIT {
+                return NoAnswerSnafu { tried }.fail();
             }
+            sleep(ROUND_PAUSE).await;
+            next = hint.into_iter().chain(self.addresses.clone()).collect();
         }
-        NoAnswerSnafu { tried }.fail()
     }
 
     async fn call_one<T: DeserializeOwned>(
@@ -115,3 +173,11 @@
         client.call(method, params).await
     }
 }
+
+/// The address of the leader that a control VM names in its refusal.
+fn leader(detail: &str) -> Option<SocketAddr> {
+    match serde_json::from_str(detail) {
+        Ok(Unavailable::NotLeader { leader }) => leader?.parse().ok(),
+        _ => None,
+    }
+}
--- a/src/operator/encode.rs
+++ b/src/operator/encode.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        agree::{Message, Unavailable},
+        agree::{MemberChange, MemberStatus, Message, Unavailable},
         context::Context,
         edge::{
             Handler,
@@ -10,10 +10,11 @@
         },
         policy::{self, Accepted, Cap, Command, Drain, Policy, Rejection, Shift, state::Receipt},
         ring::Sender,
+        settings::section::is_name,
     },
     jsonrpsee::{RpcModule, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
     tokio::sync::oneshot,
 };
 
@@ -47,6 +48,20 @@
     limit: usize,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AddParams {
+    name: String,
+    peers: SocketAddr,
+    operators: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RemoveParams {
+    name: String,
+}
+
 struct State {
     context: Context,
     ring: Sender<Message>,
@@ -78,9 +93,59 @@
         let HistoryParams { limit } = rpc::params(&params)?;
         history(&state, limit).await
     })?;
+    register_members(&mut module)?;
     Ok(rpc::handler(module))
 }
 
+fn register_members(
+    module: &mut RpcModule<State>,
+) -> Result<(), jsonrpsee::core::RegisterMethodError> {
+    module.register_async_method("members", |params, state, _| async move {
+        let Nothing {} = rpc::params(&params)?;
+        members(&state, None).await
+    })?;
+    module.register_async_method("add_member", |params, state, _| async move {
+        let AddParams {
+            name,
+            peers,
+            operators,
+        } = rpc::params(&params)?;
+        check_name(&name)?;
+        let change = MemberChange::Add {
+            name,
+            peers,
+            operators,
+        };
+        members(&state, Some(change)).await
+    })?;
+    module.register_async_method("remove_member", |params, state, _| async move {
+        let RemoveParams { name } = rpc::params(&params)?;
+        check_name(&name)?;
+        members(&state, Some(MemberChange::Remove { name })).await
+    })?;
+    Ok(())
+}
+
+async fn members(state: &State, change: Option<MemberChange>) -> Answer<Vec<MemberStatus>> {
+    let (tx, rx) = oneshot::channel();
+    let reply = Box::new(move |answer| drop(tx.send(answer)));
+    offer(state, Message::Members { change, reply })?;
+    let changed = rx.await.map_err(|_| unavailable(Unavailable::Unknown))?;
+    let changed = changed.map_err(unavailable)?;
+    changed.map_err(|text| {
+        let findings = vec![text];
+        rejected(Rejection::Invalid { findings })
+    })
+}
+
+fn check_name(name: &str) -> Answer<()> {
+    if is_name(name) {
+        return Ok(());
+    }
+    let findings = vec!["name: expected 1 to 64 letters, digits, '-' or '_'".to_owned()];
+    Err(rejected(Rejection::Invalid { findings }))
+}
+
 async fn submit(state: &State, command: Command) -> Answer<Accepted> {
     check_names(state, &command)?;
     let (tx, rx) = oneshot::channel();
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -2,7 +2,10 @@
 
 use {
     super::SCHEMA,
-    crate::policy::{Amount, Cap, Change, Command, Drain, Place, Shift},
+    crate::{
+        agree::MemberStatus,
+        policy::{Amount, Cap, Change, Command, Drain, Place, Shift},
+    },
     serde_json::{Value, json},
 };
 
@@ -83,6 +86,22 @@
     assert_eq!(named, properties("Change"));
 }
 
+#[test]
+fn schema_and_types_name_the_same_fields_of_a_member() {
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let member = MemberStatus {
+        name: "control-1".to_owned(),
+        peers: nowhere,
+        operators: nowhere,
+        voter: true,
+        leads: true,
+        alive: true,
+        behind: 0,
+    };
+    let value = serde_json::to_value(member).unwrap();
+    assert_eq!(fields(&value), properties("Member"));
+}
+
 #[test]
 fn unknown_fields_are_refused_by_name() {
     let value = json!({"id": "c", "operator": "o", "expected": 0, "colour": 1,
@@ -100,5 +119,16 @@
         .filter_map(|row| row["name"].as_str())
         .collect();
     names.sort_unstable();
-    assert_eq!(names, ["check", "history", "status", "submit"]);
+    assert_eq!(
+        names,
+        [
+            "add_member",
+            "check",
+            "history",
+            "members",
+            "remove_member",
+            "status",
+            "submit"
+        ]
+    );
 }
