Keep a home that an upstream comes back to from a better one

Cause: two VMs whose views of the fleet differ could each name the other as the better home, and neither would grant. An upstream that cannot reach the better home found none at all.

A first announcement is told of the better home and not granted anyhow; one that echoes a token of this VM is granted, whatever the ranking. Granted upstreams are told of a better home at most every 30 s, so that a better home out of reach costs little. Drained VMs are no better homes. Upstreams without a lease echo after 10 ms.

Ruled out: granting only at the best home. It needs the views of all VMs to agree.

--- a/src/announce/decide.rs
+++ b/src/announce/decide.rs
@@ -17,6 +17,11 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
+/// Time after which an upstream without a lease sends back its first token.
+const ECHO_MS: u64 = 10;
+/// Time between two hints to an upstream that has its home here.
+const HINT_INTERVAL_MS: u64 = 30_000;
+
 /// Takes an announcement; returns the answer and what the slots duty must know.
 pub(crate) fn announce(
     state: &mut State,
@@ -27,24 +32,23 @@
 ) -> (Lease, Vec<Notice>) {
     // Tokens differ, so that it is clear which of two came first.
     state.issued = now.max(Micros(state.issued.0 + 1));
-    let home = better_home(state, context, said);
-    let holder = holder(context, said);
-    let notices = accept(state, settings, context, now, said, home.is_some());
-    let granted = state.names.get(said.name.as_str()).is_some_and(|key| {
+    let notices = accept(state, settings, context, now, said);
+    let key = state.names.get(said.name.as_str()).copied();
+    let key = key.filter(|key| {
         state.rows[*key].announcement.incarnation == said.incarnation && !said.leaving
     });
+    let away = said.leaving || state.closed || state.stopping;
     let lease = Lease {
-        granted,
-        holder,
+        granted: key.is_some(),
+        holder: holder(context, said),
         token: Token::new(context, state.issued),
         lease_ms: settings.lease_ms,
-        // An upstream without a lease echoes its first token at once.
-        renew_ms: if granted || said.leaving || state.closed || state.stopping {
+        renew_ms: if key.is_some() || away {
             settings.renew_ms
         } else {
-            0
+            ECHO_MS
         },
-        home,
+        home: hint(state, context, now, key, said),
     };
     (lease, notices)
 }
@@ -55,7 +59,6 @@
     context: &Context,
     now: Micros,
     said: &Announcement,
-    elsewhere: bool,
 ) -> Vec<Notice> {
     let known = state.names.get(said.name.as_str()).copied();
     if known.is_some_and(|key| is_stale(state, key, said)) {
@@ -67,14 +70,14 @@
         state.fences.insert(said.name.clone(), state.issued);
     }
     let Some(key) = known else {
-        return join(state, settings, context, now, said, elsewhere);
+        return join(state, settings, context, now, said);
     };
     if said.leaving {
         return end(state, key, Absence::Leaving);
     }
     if !is_same(state, key, said) {
         let mut notices = end(state, key, Absence::Replaced);
-        notices.extend(join(state, settings, context, now, said, elsewhere));
+        notices.extend(join(state, settings, context, now, said));
         return notices;
     }
     if moved {
@@ -83,6 +86,29 @@
     renew(state, settings, context, now, key, said)
 }
 
+/// Another VM to announce to, if one is better; seldom to an upstream that has a home here.
+///
+/// An upstream that comes back from there keeps this home: the other VM may be out of its reach.
+fn hint(
+    state: &mut State,
+    context: &Context,
+    now: Micros,
+    key: Option<UpstreamKey>,
+    said: &Announcement,
+) -> Option<SocketAddr> {
+    let home = better_home(state, context, said)?;
+    let Some(key) = key else {
+        return Some(home);
+    };
+    let stopping = state.stopping;
+    let row = &mut state.rows[key];
+    if !stopping && now < row.hinted.plus_millis(HINT_INTERVAL_MS) {
+        return None;
+    }
+    row.hinted = now;
+    Some(home)
+}
+
 /// Whether the upstream last took an answer of this life of this VM.
 fn is_mine(context: &Context, said: &Announcement) -> bool {
     let token = said.token.as_ref();
@@ -193,9 +219,8 @@
     context: &Context,
     now: Micros,
     said: &Announcement,
-    elsewhere: bool,
 ) -> Vec<Notice> {
-    if said.leaving || state.closed || state.stopping || elsewhere {
+    if said.leaving || state.closed || state.stopping {
         return Vec::new();
     }
     let Some(lapses) = lapses(state, settings, context, now, said) else {
@@ -204,6 +229,7 @@
     let key = state.rows.insert(Row {
         announcement: said.clone(),
         lapses,
+        hinted: now,
     });
     state.names.insert(said.name.clone(), key);
     vec![present(context, key, said, lapses)]
@@ -232,7 +258,8 @@
     let near = state
         .homes
         .iter()
-        .filter(|home| home.zone == context.zone && *home.name != *context.vm);
+        .filter(|home| home.zone == context.zone && *home.name != *context.vm)
+        .filter(|home| !state.policy.drains(&Drain::Vm(home.name.clone())));
     let best: &Home = near.max_by_key(|home| (weight(&home.name, said), home.address))?;
     let better = own.is_none_or(|own| weight(&best.name, said) > own);
     better.then_some(best.address)
--- a/src/announce/state.rs
+++ b/src/announce/state.rs
@@ -2,8 +2,9 @@
 
 use {
     super::messages::{Announcement, Home},
-    crate::{clock::Micros, keys::UpstreamKey, sorted::Sorted},
+    crate::{clock::Micros, keys::UpstreamKey, policy::Policy, sorted::Sorted},
     slotmap::SlotMap,
+    std::sync::Arc,
 };
 
 /// One upstream's lease.
@@ -13,6 +14,8 @@
     pub announcement: Announcement,
     /// When its lease lapses.
     pub lapses: Micros,
+    /// When it was last told of a better home, or joined.
+    pub hinted: Micros,
 }
 
 /// The upstreams that hold a lease.
@@ -28,6 +31,8 @@
     pub issued: Micros,
     /// Other VMs that can be a home.
     pub homes: Vec<Home>,
+    /// Configuration in force.
+    pub policy: Arc<Policy>,
     /// Whether this VM is drained and no home any more.
     pub closed: bool,
     /// Whether this VM is shutting down: it keeps its upstreams until they have moved.
--- a/src/announce/tests.rs
+++ b/src/announce/tests.rs
@@ -12,6 +12,7 @@
         clock::Micros,
         context::Context,
         keys::{ServiceKey, ZoneKey},
+        policy::{Drain, Policy},
     },
 };
 
@@ -164,11 +165,6 @@
     let (lease, _) = vm.hear(0, &said(1));
     let (lease, _) = vm.echo(0, said(1), &lease);
     let address = "127.0.0.1:9".parse().unwrap();
-    let home = |name: &str, zone| Home {
-        name: name.to_owned(),
-        zone: ZoneKey(zone),
-        address,
-    };
     vm.state.homes = vec![home("far", 1), home("near", 0)];
     assert_eq!(absences(&close(&mut vm.state, true)), [Absence::Released]);
     let (lease, _) = vm.echo(1, said(1), &lease);
@@ -218,3 +214,41 @@
     let token = Token::parse("entry-1.18f.2a").unwrap();
     assert_eq!(token.to_string(), "entry-1.18f.2a");
 }
+
+#[test]
+fn an_upstream_that_cannot_reach_the_better_home_keeps_this_one() {
+    let mut vm = Vm::new("a");
+    let better = (0..100).map(|at| format!("b{at}")).find(|name| {
+        let mut trial = Vm::new("a");
+        trial.state.homes = vec![home(name, 0)];
+        trial.hear(0, &said(1)).0.home.is_some()
+    });
+    vm.state.homes = vec![home(&better.unwrap(), 0)];
+    let (first, _) = vm.hear(0, &said(1));
+    assert!(first.home.is_some() && !first.granted);
+    let (back, _) = vm.echo(1_000, said(1), &first);
+    assert!(back.granted && back.home.is_none());
+    // It is told again, but seldom; a drained VM is no better home.
+    let mut lease = back;
+    let mut hints = 0;
+    for ms in (1_500..61_000).step_by(500) {
+        lease = vm.echo(ms, said(1), &lease).0;
+        assert!(lease.granted);
+        hints += usize::from(lease.home.is_some());
+    }
+    assert_eq!(hints, 1);
+    let drained = Drain::Vm(vm.state.homes[0].name.clone());
+    vm.state.policy = std::sync::Arc::new(Policy {
+        drains: vec![drained],
+        ..Policy::default()
+    });
+    assert!(vm.hear(62_000, &said(2)).0.home.is_none());
+}
+
+fn home(name: &str, zone: u16) -> Home {
+    Home {
+        name: name.to_owned(),
+        zone: ZoneKey(zone),
+        address: "127.0.0.1:9".parse().unwrap(),
+    }
+}
--- a/src/announce/thread.rs
+++ b/src/announce/thread.rs
@@ -69,6 +69,7 @@
             Message::Homes(homes) => self.state.homes = homes,
             Message::Policy(policy) => {
                 let drained = decide::is_drained(&policy, &self.context);
+                self.state.policy = policy;
                 let notices = decide::close(&mut self.state, drained);
                 self.notify(notices);
             }
