--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -58,6 +58,8 @@
     DISK_BACK = 2009 Info "Data folder takes writes again", "None.";
     DISK_RENEWED = 2010 Info "This control VM starts again as a new disk", "None; it counts again once it has caught up.";
     NOT_KEPT = 2011 Warn "No `data_dir`: accepted configuration is lost when the process ends", "Set `data_dir`, except for a trial.";
+    DRAIN_BEGAN = 2301 Info "Drain began", "None.";
+    DRAIN_DONE = 2302 Info "Drain complete: nothing in flight", "What was drained may be stopped once every VM says so.";
 }
 
 /// Writes an event to the log.
--- a/tests/scenario/fake.rs
+++ b/tests/scenario/fake.rs
@@ -1,7 +1,11 @@
 //! A small upstream that misbehaves on request and counts what it runs.
 
 use {
-    siskinstep::{announce::Body, clock::wall_millis, dev::sample},
+    siskinstep::{
+        announce::Body,
+        clock::wall_millis,
+        dev::{fence::Fence, sample},
+    },
     std::{
         collections::BTreeMap,
         io::{self, BufRead, BufReader, Write},
@@ -57,9 +61,8 @@
 
 struct Inner {
     name: String,
-    service: String,
-    slots: u16,
     time: Duration,
+    fence: Mutex<Fence>,
     fault: Mutex<Fault>,
     seen: Mutex<Seen>,
     leaving: AtomicBool,
@@ -75,21 +78,30 @@
 impl Fake {
     /// Starts an upstream that takes `time` for each request, announced at `entry`.
     pub fn start(name: &str, service: &str, slots: u16, time: Duration, entry: SocketAddr) -> Self {
-        let inner = Arc::new(Inner {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let body = Body {
             name: name.to_owned(),
             service: service.to_owned(),
+            address: listener.local_addr().unwrap(),
             slots,
+            incarnation: wall_millis(),
+            token: None,
+            inherited: None,
+            load: None,
+            leaving: false,
+        };
+        let inner = Arc::new(Inner {
+            name: name.to_owned(),
             time,
+            fence: Mutex::new(Fence::new(body, entry)),
             fault: Mutex::default(),
             seen: Mutex::default(),
             leaving: AtomicBool::new(false),
             ended: AtomicBool::new(false),
         });
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
         let (serving, announcing) = (Arc::clone(&inner), Arc::clone(&inner));
         thread::spawn(move || accept(&serving, &listener));
-        thread::spawn(move || announce(&announcing, address, entry));
+        thread::spawn(move || announce(&announcing));
         Self { inner }
     }
 
@@ -118,23 +130,22 @@
     }
 }
 
-fn announce(inner: &Inner, address: SocketAddr, entry: SocketAddr) {
-    let incarnation = wall_millis();
+fn announce(inner: &Inner) {
     while !inner.ended.load(Ordering::SeqCst) {
         let lies = matches!(*inner.fault.lock().unwrap(), Fault::LieIdle);
         let running = inner.seen.lock().unwrap().running;
-        let body = Body {
-            name: inner.name.clone(),
-            service: inner.service.clone(),
-            address,
-            slots: inner.slots,
-            incarnation,
-            load: Some(if lies { 0 } else { running }),
-            leaving: inner.leaving.load(Ordering::SeqCst),
-        };
+        let (home, mut body) = inner.fence.lock().unwrap().announcement();
+        body.load = Some(if lies { 0 } else { running });
+        body.leaving = inner.leaving.load(Ordering::SeqCst);
         // The entry VM may be down; the next announcement makes it good.
-        let _ = sample::announce(entry, &body);
-        thread::sleep(ANNOUNCE_INTERVAL);
+        let wait = match sample::announce(home, &body) {
+            Ok(granted) => {
+                inner.fence.lock().unwrap().adopt(&granted);
+                Duration::from_millis(granted.renew_ms).min(ANNOUNCE_INTERVAL)
+            }
+            Err(_) => ANNOUNCE_INTERVAL,
+        };
+        thread::sleep(wait);
     }
 }
 
@@ -153,9 +164,15 @@
 
 fn converse(inner: &Inner, stream: &TcpStream) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
-    while let Some(key) = read_request(&mut reader)? {
+    while let Some((key, holder)) = read_request(&mut reader)? {
         let fault = inner.fault.lock().unwrap().clone();
-        if fault == Fault::RefuseNotRun {
+        let refuse = fault == Fault::RefuseNotRun;
+        let entered = if refuse {
+            None
+        } else {
+            inner.fence.lock().unwrap().enter(&holder)
+        };
+        let Some(tenure) = entered else {
             respond(
                 stream,
                 "503 Service Unavailable",
@@ -163,17 +180,19 @@
                 "",
             )?;
             continue;
-        }
+        };
         begin(inner, &key);
         if fault == Fault::CrashOn(key.clone()) {
             let mut seen = inner.seen.lock().unwrap();
             seen.running -= 1;
             seen.crashes += 1;
+            inner.fence.lock().unwrap().leave(tenure);
             return Ok(());
         }
         let late = if let Fault::Late(ms) = fault { ms } else { 0 };
         thread::sleep(inner.time + Duration::from_millis(late));
         inner.seen.lock().unwrap().running -= 1;
+        inner.fence.lock().unwrap().leave(tenure);
         answer(inner, stream, &fault, &key)?;
     }
     Ok(())
@@ -211,9 +230,10 @@
     stream.write_all(text.as_bytes())
 }
 
-/// Reads one request and returns its idempotency key, or its body if it has none.
-fn read_request(reader: &mut impl BufRead) -> io::Result<Option<String>> {
+/// Reads one request; returns its idempotency key, or its body if it has none, and its holder.
+fn read_request(reader: &mut impl BufRead) -> io::Result<Option<(String, String)>> {
     let (mut key, mut length) = (None, 0);
+    let mut holder = String::new();
     let mut line = String::new();
     if reader.read_line(&mut line)? == 0 {
         return Ok(None);
@@ -228,13 +248,13 @@
         let (name, value) = row.split_once(':').unwrap_or((row, ""));
         match name.to_ascii_lowercase().as_str() {
             "content-length" => length = value.trim().parse().unwrap_or(0),
+            "siskinstep-holder" => value.trim().clone_into(&mut holder),
             "idempotency-key" => key = Some(value.trim().to_owned()),
             _ => {}
         }
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
-    Ok(Some(key.unwrap_or_else(|| {
-        String::from_utf8_lossy(&body).into_owned()
-    })))
+    let key = key.unwrap_or_else(|| String::from_utf8_lossy(&body).into_owned());
+    Ok(Some((key, holder)))
 }
