Hand a caller's cancellation on to the peer that serves it

Cause: a forwarded request ran on after its caller had gone. The forward duty drops the exchange, which closes its connection; the peer then cancels its call, unless the kind must run at most once.

Seen failing on broken code: cancellation not attached on receipt (forward test), not attached at the caller's listener, and slots freed at once (traffic test).

--- a/src/forward/receive.rs
+++ b/src/forward/receive.rs
@@ -4,6 +4,7 @@
     super::{encode, messages::Forwarded},
     crate::{
         call::{Call, Outcome, Reason, Refusal},
+        cancel,
         context::Context,
         edge::Outgoing,
         keys::RequestId,
@@ -41,7 +42,12 @@
     let meta = meta.ok_or(Refusal::not_run(Reason::UnknownKind))?;
     let (tx, rx) = oneshot::channel();
     let reply = Box::new(move |outcome| drop(tx.send(outcome)));
-    let call = Call::new(meta, forwarded.key, forwarded.payload, reply);
+    let mut call = Call::new(meta, forwarded.key, forwarded.payload, reply);
+    // Dropped with this future when the peer closes the connection, as its caller has gone.
+    let (_guard, cancel) = cancel::pair();
+    if !context.topology.kind_row(meta.kind).once {
+        call = call.with_cancel(cancel);
+    }
     if let Err(Rejected::Full(slots::Message::Place(call))) =
         slots.offer(slots::Message::Place(call))
     {
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -5,13 +5,19 @@
         decide::{choose, count},
         encode,
         messages::{Forwarded, Peer},
+        receive::receive,
         state::State,
     },
     crate::{
-        call::{Answer, Reason, Refusal},
+        call::{Answer, Payload, Reason, Refusal},
+        context::Context,
         fuzz,
-        keys::ZoneKey,
+        keys::{ServiceKey, ZoneKey},
+        ring,
+        settings::topology::{Kind, Topology},
+        slots,
     },
+    std::sync::Arc,
 };
 
 fn peer(name: &str, zone: u16, free: u32) -> Peer {
@@ -69,3 +75,52 @@
         let _ = postcard::from_bytes::<Forwarded>(bytes);
     });
 }
+
+#[test]
+fn a_peer_that_hangs_up_cancels_the_call_unless_it_must_run_once() {
+    let mut topology = Topology::default();
+    topology.add_region("derwent".to_owned(), vec!["derwent-a".to_owned()]);
+    let kind = |name: &str, once| Kind {
+        name: name.to_owned(),
+        service: ServiceKey(0),
+        worth: 1,
+        deadline_ms: 1,
+        once,
+        repeatable: false,
+    };
+    let kinds = vec![kind("list", false), kind("book", true)];
+    topology.add_service("swapdesk".to_owned(), kinds);
+    let context = Context::new("entry-1", ZoneKey(0), Arc::new(topology));
+    let (slots, placed) = ring::bounded(2);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .unwrap();
+    for (kind, cancelled) in [("list", true), ("book", false)] {
+        let forwarded = Forwarded {
+            service: "swapdesk".to_owned(),
+            kind: kind.to_owned(),
+            origin: "derwent-a".to_owned(),
+            left_ms: 1_000,
+            hops: 1,
+            key: "k".into(),
+            payload: Payload {
+                method: "POST".into(),
+                target: "/".into(),
+                headers: vec![],
+                body: "".into(),
+            },
+        };
+        let bytes = postcard::to_stdvec(&forwarded).unwrap();
+        runtime.block_on(async {
+            tokio::select! {
+                biased;
+                _ = receive(&context, &slots, &bytes) => panic!("nobody answers"),
+                () = std::future::ready(()) => {}
+            }
+        });
+        let Some(slots::Message::Place(call)) = placed.recv() else {
+            panic!("no call");
+        };
+        assert_eq!(call.is_cancelled(), cancelled, "{kind}");
+    }
+}
--- a/src/forward/thread.rs
+++ b/src/forward/thread.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         call::{Call, Outcome, Ran, Reason, Refusal},
+        cancel,
         context::Context,
         edge::{Secret, secret::SECRET_HEADER},
         explain::Step,
@@ -105,12 +106,22 @@
         let address = peer.address;
         self.context.note(call.meta.id, Step::Forwarded { address });
         let left = call.meta.deadline.since(self.context.clock.now());
-        let outcome = time::timeout(left, self.attempt(peer, call, left)).await;
+        let cancel = call.cancel();
+        let outcome = tokio::select! {
+            outcome = time::timeout(left, self.attempt(peer, call, left)) => {
+                outcome.unwrap_or(Err(Refusal::unknown(Reason::AnswerTimeout)))
+            }
+            // The connection is closed with it, by which the peer learns that the caller has gone.
+            () = cancel::of(cancel) => Err(Refusal::unknown(Reason::Cancelled)),
+        };
         decide::count(&mut self.state.borrow_mut(), &peer.name, false);
-        outcome.unwrap_or_else(|_| {
+        if outcome
+            .as_ref()
+            .is_err_and(|refusal| refusal.ran == Ran::Unknown)
+        {
             call.mark_sent();
-            Err(Refusal::unknown(Reason::AnswerTimeout))
-        })
+        }
+        outcome
     }
 
     async fn attempt(&self, peer: &Peer, call: &mut Call, left: Duration) -> Outcome {
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -11,7 +11,8 @@
     serde_json::{Value, json},
     siskinstep::edge::outbound,
     std::{
-        net::SocketAddr,
+        io::Write,
+        net::{SocketAddr, TcpStream},
         process::Command,
         sync::{
             Arc,
@@ -89,6 +90,12 @@
         (0..callers).map(spawn).collect()
     }
 
+    fn metrics(&self) -> String {
+        let url = format!("http://{}/metrics", self.admin);
+        let mut answer = outbound::agent(LIMIT).get(url).call().unwrap();
+        answer.body_mut().read_to_string().unwrap()
+    }
+
     fn status(&self) -> Value {
         let url = format!("http://{}/status", self.admin);
         let mut answer = outbound::agent(LIMIT).get(url).call().unwrap();
@@ -212,9 +219,7 @@
         assert!(answers.iter().all(whole));
     }
     assert_eq!(fake.seen().begun, begun);
-    let url = format!("http://{}/metrics", small.admin);
-    let mut metrics = outbound::agent(LIMIT).get(url).call().unwrap();
-    let metrics = metrics.body_mut().read_to_string().unwrap();
+    let metrics = small.metrics();
     for name in [
         "drain_ms",
         "slots_free",
@@ -254,3 +259,25 @@
         assert!(answers[joined..].iter().all(|(status, _)| *status == 200));
     }
 }
+
+#[test]
+fn a_caller_that_hangs_up_is_cancelled_and_its_slot_is_held_until_its_deadline() {
+    let (small, _entry) = Small::start();
+    let time = Duration::from_millis(700);
+    let fake = Fake::start("u1", "cellwatch", 1, time, small.upstreams);
+    await_joined(&small);
+    let mut caller = TcpStream::connect(small.callers).unwrap();
+    let request = "POST /cellwatch/check HTTP/1.1\r\nhost: x\r\ndeadline-ms: 1500\r\n\r\n";
+    caller.write_all(request.as_bytes()).unwrap();
+    await_begun(&fake, 1);
+    drop(caller);
+    eventually("the attempt is cancelled", || {
+        let cancelled = "failures{reason=\"cancelled\"} 1\n";
+        Some(()).filter(|()| small.metrics().contains(cancelled))
+    });
+    // The fake runs on, as if the end of the connection had not reached it.
+    let stop = Arc::default();
+    let answers = small.load(1, &stop, |_| true).remove(0).join().unwrap();
+    assert_eq!(answers, [(200, "u1:x".to_owned())]);
+    assert_eq!(fake.seen().peak, 1);
+}
