Find the entry VMs that are alive, and start from the zone's configuration

Cause: look-ups named only the VM that was asked, and a VM that restarted without a disk served under version 0 until control answered.

Membership: each VM pings two zone peers, one VM of another zone and now and then a seed or an evicted VM a round, over authenticated UDP datagrams of at most 1,200 bytes. A silent member is pinged by others, then suspect, then evicted; it refutes with a higher incarnation. A VM that stood still for longer than its lease is suspect, joins again under a higher incarnation, and refuses callers and forwarded requests with `not_joined` meanwhile: the lease is read on every request, so there is no moment between waking up and noticing it.

Spread: commands since a version or the whole, checked by a digest; two VMs of a zone ask control and the others ask them; a start waits at most `start_ms` for what the zone has in force; `data_dir` keeps the last one on disk. The operator RPC and verb `fleet` show the version in force on each entry VM.

Ruled out: heartbeats from all to all (cost grows with the zone); full tables between zones (2,900 rows a round); waiting on the callers' listener until the start is over (the lease already says it).

Checks seen failing on broken code, one edit each: acknowledgements from before a freeze accepted; refutation without a higher incarnation; older incarnations taken in; no eviction; doubted members not told; no time to refute; no indirect pings; no code check; no rejoin; zones unheard of shown; evicted members taken in again; no pings of lost members; older versions accepted; digest not checked; differences without bound or with holes; no checksum on disk; members ahead not asked; lowest instead of highest version as floor.

--- a/src/call.rs
+++ b/src/call.rs
@@ -65,11 +65,13 @@
     RetryBudget,
     /// The peer VM that was to serve it could not be reached.
     PeerUnreachable,
+    /// This VM has not joined the others yet, or not again after it stood still.
+    NotJoined,
 }
 
 impl Reason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::RingFull,
         Self::Stopping,
         Self::UnknownKind,
@@ -91,6 +93,7 @@
         Self::Poisoned,
         Self::RetryBudget,
         Self::PeerUnreachable,
+        Self::NotJoined,
     ];
 
     /// The name used in answers and counters.
@@ -122,6 +125,7 @@
             Self::Poisoned => "poisoned",
             Self::RetryBudget => "retry_budget",
             Self::PeerUnreachable => "peer_unreachable",
+            Self::NotJoined => "not_joined",
         }
     }
 }
--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -37,7 +37,8 @@
         | Reason::UpstreamRefused
         | Reason::ClaimUnavailable
         | Reason::RetryBudget
-        | Reason::PeerUnreachable => 503,
+        | Reason::PeerUnreachable
+        | Reason::NotJoined => 503,
     }
 }
 
--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -8,6 +8,7 @@
         edge::{Handler, Incoming, Outgoing},
         keys::RequestId,
         lookup::Table,
+        membership::Lease,
         ring::{Rejected, Sender},
         shift,
     },
@@ -25,6 +26,8 @@
 pub struct Front {
     /// Who we are.
     pub context: Context,
+    /// Lease under which this VM serves.
+    pub lease: Lease,
     /// Where requests go.
     pub ring: Sender<shift::Message>,
     /// Rankings of the look-up duty.
@@ -88,6 +91,9 @@
         if self.front.context.stopping() {
             return Err(Refusal::not_run(Reason::Stopping));
         }
+        if !self.front.lease.holds(self.front.context.clock.now()) {
+            return Err(Refusal::not_run(Reason::NotJoined));
+        }
         let decoded = decode::decode(&self.front.context, id, incoming)?;
         let (tx, rx) = oneshot::channel();
         let reply = Box::new(move |outcome| drop(tx.send(outcome)));
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -71,6 +71,9 @@
         /// Shows the configuration in force.
         cmd status {
         }
+        /// Shows the version in force on each entry VM.
+        cmd fleet {
+        }
         /// Shows the latest commands with their answers, newest first.
         cmd history {
             /// How many (default: 20).
--- a/src/cli/render.rs
+++ b/src/cli/render.rs
@@ -4,6 +4,7 @@
     crate::{
         operator::Status,
         policy::{Accepted, state::Receipt},
+        spread::FleetRow,
     },
     serde::Serialize,
 };
@@ -63,3 +64,18 @@
     let lines: Vec<String> = receipts.iter().map(line).collect();
     lines.join("\n")
 }
+
+pub(super) fn fleet(rows: &[FleetRow]) -> String {
+    let mut lines = vec![format!(
+        "{:<24} {:<24} {:>9} {:>9}",
+        "vm", "zone", "version", "age ms"
+    )];
+    for row in rows {
+        let line = format!(
+            "{:<24} {:<24} {:>9} {:>9}",
+            row.vm, row.zone, row.version, row.age_ms
+        );
+        lines.push(line);
+    }
+    lines.join("\n")
+}
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -95,6 +95,7 @@
             to: order::place(&verb.to)?,
         }),
         SiskinstepCmd::Status(_) => session.status(),
+        SiskinstepCmd::Fleet(_) => session.fleet(),
         SiskinstepCmd::History(verb) => session.history(verb.limit.unwrap_or(DEFAULT_HISTORY)),
         SiskinstepCmd::Check(verb) => check(&verb.role, &verb.file),
         SiskinstepCmd::Events(_) => {
@@ -209,6 +210,12 @@
         Ok(())
     }
 
+    fn fleet(&self) -> Result<(), CliError> {
+        let rows = runtime()?.block_on(self.connect()?.fleet())?;
+        render::print(self.format, &rows, |rows| render::fleet(rows));
+        Ok(())
+    }
+
     fn history(&self, limit: usize) -> Result<(), CliError> {
         let operator = self.connect()?;
         let receipts = runtime()?.block_on(operator.history(limit))?;
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -7,7 +7,8 @@
         context::Context,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError, rpc},
         observe::{Event, report},
-        operator, ring, spread,
+        operator, ring,
+        spread::{self, Fleet, Source},
     },
     jsonrpsee::{RpcModule, core::RegisterMethodError},
     snafu::{ResultExt, Snafu},
@@ -49,6 +50,8 @@
     admin: Running,
     ring: ring::Sender<agree::Message>,
     threads: Vec<JoinHandle<()>>,
+    // News always reach a control VM; what they are is for the agree duty to say.
+    _fresh: watch::Sender<bool>,
 }
 
 impl Control {
@@ -64,17 +67,26 @@
         let thread = agree::spawn(context.clone(), agree_ring, policies);
         let thread = thread.context(ThreadSnafu { name: "agree" })?;
         let listeners = settings.listeners;
-        let (inner, ring) = (context.clone(), agree.clone());
+        let fleet = Fleet::new(context.clock);
+        let (inner, ring, shown) = (context.clone(), agree.clone(), fleet.clone());
         let operators = listen(
             "operators",
             listeners.operators,
             settings,
             &context,
             Some(secret),
-            move || operator::handler(&inner, ring).unwrap_or_else(|error| refuse_all(&error)),
+            move || {
+                operator::handler(&inner, ring, shown).unwrap_or_else(|error| refuse_all(&error))
+            },
         )?;
         let mut module = RpcModule::new(());
-        spread::register(&mut module, policies_seen)?;
+        let (fresh_in, fresh) = watch::channel(true);
+        let source = Source {
+            policies: policies_seen,
+            fresh,
+            fleet: Some(fleet),
+        };
+        spread::register(&mut module, source)?;
         let peers = listen(
             "peers",
             listeners.peers,
@@ -103,6 +115,7 @@
             admin,
             ring: agree,
             threads: vec![thread],
+            _fresh: fresh_in,
         })
     }
 
--- /dev/null
+++ b/src/entry/links.rs
@@ -0,0 +1,111 @@
+//! The latest values that duties and listeners of an entry VM read from each other.
+
+use {
+    super::wiring::Rings,
+    crate::{
+        forward, lookup,
+        membership::{Lease, Member, Members, Outputs, Standing, TakeSlots, messages::Seen},
+        policy::Policy,
+        slots,
+        spread::Source,
+    },
+    std::sync::Arc,
+    tokio::sync::watch,
+};
+
+/// The reading ends.
+#[derive(Clone, Debug)]
+pub(super) struct Links {
+    /// Lease under which this VM serves.
+    pub lease: Lease,
+    /// The latest members.
+    pub seen: Seen,
+    /// Answers to peers that ask for the configuration.
+    pub source: Source,
+}
+
+/// The writing ends.
+#[derive(Debug)]
+pub(super) struct Feeds {
+    /// Written by the membership duty.
+    pub seen: watch::Sender<Arc<Members>>,
+    /// Written by the spread duty.
+    pub policies: watch::Sender<Arc<Policy>>,
+    /// Written by the spread duty.
+    pub fresh: watch::Sender<bool>,
+}
+
+/// Makes both ends.
+pub(super) fn links() -> (Links, Feeds) {
+    let (seen_in, seen) = watch::channel(Arc::default());
+    let (policies_in, policies) = watch::channel(Arc::default());
+    let (fresh_in, fresh) = watch::channel(true);
+    let source = Source {
+        policies,
+        fresh,
+        fleet: None,
+    };
+    let links = Links {
+        lease: Lease::default(),
+        seen,
+        source,
+    };
+    let feeds = Feeds {
+        seen: seen_in,
+        policies: policies_in,
+        fresh: fresh_in,
+    };
+    (links, feeds)
+}
+
+/// What the membership duty writes to; none of it waits.
+pub(super) fn outputs(
+    own: Arc<str>,
+    rings: &Rings,
+    lease: Lease,
+    seen: watch::Sender<Arc<Members>>,
+) -> Outputs {
+    let (lookup, forward) = (rings.lookup.clone(), rings.out.forward.clone());
+    let slots = rings.slots.clone();
+    // A ring that is full now is tried again with the next round.
+    let publish = move |members: &Members| {
+        let _ = lookup.offer(lookup::Message::Vms(vms(members)));
+        let _ = forward.offer(forward::Message::Peers(peers(members, &own)));
+    };
+    let ask = move |take: TakeSlots| drop(slots.offer(slots::Message::Read(take)));
+    Outputs {
+        lease,
+        seen,
+        publish: Box::new(publish),
+        ask: Box::new(ask),
+    }
+}
+
+fn vms(members: &Members) -> Vec<lookup::messages::Vm> {
+    let vm = |row: &Member| lookup::messages::Vm {
+        name: row.name.clone(),
+        zone: row.zone,
+        callers: row.callers,
+        free: free(row),
+        suspect: row.standing == Standing::Suspect,
+    };
+    members.rows.iter().map(vm).collect()
+}
+
+/// Other VMs that forwarded requests may go to.
+fn peers(members: &Members, own: &str) -> Vec<forward::messages::Peer> {
+    let usable = |row: &&Member| row.standing == Standing::Alive && row.name != own;
+    let peer = |row: &Member| forward::messages::Peer {
+        name: row.name.clone(),
+        zone: row.zone,
+        address: row.peers,
+        free: free(row),
+    };
+    members.rows.iter().filter(usable).map(peer).collect()
+}
+
+fn free(row: &Member) -> u32 {
+    row.free
+        .iter()
+        .fold(0, |sum, free| sum.saturating_add(free.slots))
+}
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -6,7 +6,7 @@
         edge::Limits,
         forward,
         keys::ZoneKey,
-        lookup, relay,
+        lookup, membership, relay,
         settings::{section::Section, topology::Topology},
         slots, spread,
     },
@@ -27,6 +27,8 @@
     pub upstreams: SocketAddr,
     /// Peers: other VMs of the system.
     pub peers: SocketAddr,
+    /// Members: heartbeats, UDP.
+    pub members: SocketAddr,
     /// Operators: metrics and status of this VM.
     pub admin: SocketAddr,
 }
@@ -37,6 +39,7 @@
             callers: LOOPBACK,
             upstreams: LOOPBACK,
             peers: LOOPBACK,
+            members: LOOPBACK,
             admin: LOOPBACK,
         }
     }
@@ -50,6 +53,7 @@
             callers: section.address("callers", base.callers),
             upstreams: section.address("upstreams", base.upstreams),
             peers: section.address("peers", base.peers),
+            members: section.address("members", base.members),
             admin: section.address("admin", base.admin),
         }
     }
@@ -86,6 +90,8 @@
     pub relay: relay::Settings,
     /// Forwarding to other zones.
     pub forward: forward::Settings,
+    /// Members.
+    pub membership: membership::Settings,
     /// Configuration.
     pub spread: spread::Settings,
 }
@@ -115,6 +121,7 @@
             slots: section.section("slots", slots::Settings::read),
             relay: section.section("relay", relay::Settings::read),
             forward: section.section("forward", forward::Settings::read),
+            membership: section.section("membership", membership::Settings::read),
             spread: section.section("spread", spread::Settings::read),
         }
     }
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -1,21 +1,25 @@
 //! Starts the threads of an entry VM, joins them by rings, and ends them in order.
 
 use {
-    super::settings::Settings,
+    super::{
+        links::{Links, links, outputs},
+        settings::Settings,
+    },
     crate::{
         admin, announce,
         callers::{self, Front},
         context::Context,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
         forward, lookup,
+        membership::{self, Lease},
         observe::{Event, report},
         peers,
         relay::{self, Dispatch},
         ring::{self, Inbox, Ring},
         shift, slots,
-        spread::{self, Subscribers},
+        spread::{self, Subscribers, Wires},
     },
-    jsonrpsee::RpcModule,
+    jsonrpsee::{RpcModule, core::RegisterMethodError},
     snafu::{ResultExt, Snafu},
     std::{
         io,
@@ -28,6 +32,7 @@
 };
 
 const STOP_POLL: Duration = Duration::from_millis(10);
+const JOIN_LIMIT: Duration = Duration::from_secs(5);
 
 /// Why an entry VM could not start.
 #[derive(Debug, Snafu)]
@@ -46,6 +51,12 @@
         /// What the system said.
         source: io::Error,
     },
+    /// Two RPC methods have one name.
+    #[snafu(display("{source}"), context(false))]
+    Register {
+        /// Which.
+        source: RegisterMethodError,
+    },
 }
 
 /// An entry VM that runs.
@@ -61,12 +72,13 @@
 
 /// The sending end of each duty's ring.
 #[derive(Clone, Debug)]
-struct Rings {
-    lookup: ring::Sender<lookup::Message>,
+pub(super) struct Rings {
+    pub lookup: ring::Sender<lookup::Message>,
     announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
-    slots: ring::Sender<slots::Message>,
-    out: slots::Out,
+    pub slots: ring::Sender<slots::Message>,
+    membership: ring::Sender<membership::Message>,
+    pub out: slots::Out,
 }
 
 /// The receiving end of each duty's ring.
@@ -88,7 +100,7 @@
     admin: Running,
 }
 
-fn rings(capacity: usize) -> (Rings, Ends) {
+fn rings(capacity: usize, membership: ring::Sender<membership::Message>) -> (Rings, Ends) {
     let (lookup, lookup_end) = ring::bounded(capacity);
     let (announce, announce_end) = ring::bounded(capacity);
     let (shift, shift_end) = ring::bounded(capacity);
@@ -100,6 +112,7 @@
         announce,
         shift,
         slots,
+        membership,
         out: slots::Out { relay, forward },
     };
     let ends = Ends {
@@ -121,14 +134,40 @@
     pub fn start(settings: Settings, secret: &Secret) -> Result<Self, StartError> {
         let topology = Arc::new(settings.topology.clone());
         let context = Context::new(&settings.vm, settings.zone, topology);
-        let (rings, ends) = rings(settings.ring);
+        let (membership, membership_end) = ring::bounded(settings.ring);
+        let (rings, ends) = rings(settings.ring, membership);
+        let bound = membership::bind(settings.listeners.members);
+        let bound = bound.context(ThreadSnafu { name: "membership" })?;
+        let (links, feeds) = links();
         let (tables, tables_seen) = watch::channel(Arc::default());
         let mut stops = Vec::new();
         let mut threads = duties(
             &context, &settings, &rings, ends, tables, secret, &mut stops,
         )?;
-        threads.push(follow(&context, &settings, &rings, secret, &mut stops)?);
-        let open = open(&context, &settings, &rings, tables_seen, secret)?;
+        let wires = Wires {
+            subscribers: subscribers(&rings),
+            policies: feeds.policies,
+            fresh: feeds.fresh,
+            seen: links.seen.clone(),
+        };
+        threads.push(follow(&context, &settings, wires, secret, &mut stops)?);
+        let open = open(&context, &settings, &rings, &links, tables_seen, secret)?;
+        let addresses = membership::Addresses {
+            callers: open.callers.address,
+            peers: open.peers.address,
+        };
+        let outputs = outputs(context.vm.clone(), &rings, links.lease.clone(), feeds.seen);
+        let members = membership::spawn(
+            context.clone(),
+            settings.membership.clone(),
+            bound,
+            addresses,
+            secret,
+            membership_end,
+            outputs,
+        );
+        threads.push(members.context(ThreadSnafu { name: "membership" })?);
+        let lease = links.lease;
         let entry = Self {
             context,
             settings,
@@ -137,7 +176,7 @@
             stops,
             threads,
         };
-        entry.name_itself();
+        entry.await_lease(&lease);
         report(Event::STARTED, format_args!("entry {}", entry.context.vm));
         Ok(entry)
     }
@@ -165,6 +204,7 @@
         report(Event::STOPPING, format_args!("entry {}", self.context.vm));
         // The duty may have ended already, then nothing names this VM any more.
         let _ = self.rings.lookup.send(lookup::Message::Stopping);
+        let _ = self.rings.membership.send(membership::Message::Leaving);
         thread::sleep(Duration::from_millis(self.settings.linger_ms));
         self.context.stop();
         self.await_work();
@@ -194,15 +234,13 @@
         }
     }
 
-    /// Until peers are known, the only VM that a caller can use is this one.
-    fn name_itself(&self) {
-        let vm = lookup::messages::Vm {
-            name: self.settings.vm.clone(),
-            zone: self.settings.zone,
-            callers: self.open.callers.address,
-            free: 1,
-        };
-        let _ = self.rings.lookup.send(lookup::Message::Vms(vec![vm]));
+    /// Callers are refused until this VM has joined; a start that takes longer is not an error.
+    fn await_lease(&self, lease: &Lease) {
+        let limit = Duration::from_millis(self.settings.spread.start_ms) + JOIN_LIMIT;
+        let start = Instant::now();
+        while !lease.holds(self.context.clock.now()) && start.elapsed() < limit {
+            thread::sleep(STOP_POLL);
+        }
     }
 }
 
@@ -255,26 +293,24 @@
 fn follow(
     context: &Context,
     settings: &Settings,
-    rings: &Rings,
+    wires: Wires,
     secret: &Secret,
     stops: &mut Vec<oneshot::Sender<()>>,
 ) -> Result<JoinHandle<()>, StartError> {
     let (stop, stopped) = oneshot::channel();
     stops.push(stop);
-    let subscribers = Subscribers {
+    let spread = settings.spread.clone();
+    let thread = spread::spawn(context.clone(), spread, secret.clone(), wires, stopped);
+    thread.context(ThreadSnafu { name: "spread" })
+}
+
+fn subscribers(rings: &Rings) -> Subscribers {
+    Subscribers {
         lookup: rings.lookup.clone(),
         shift: rings.shift.clone(),
         slots: rings.slots.clone(),
-    };
-    let spread = settings.spread.clone();
-    let thread = spread::spawn(
-        context.clone(),
-        spread,
-        secret.clone(),
-        subscribers,
-        stopped,
-    );
-    thread.context(ThreadSnafu { name: "spread" })
+        membership: rings.membership.clone(),
+    }
 }
 
 /// Opens the listeners.
@@ -282,6 +318,7 @@
     context: &Context,
     settings: &Settings,
     rings: &Rings,
+    links: &Links,
     tables: watch::Receiver<Arc<lookup::Table>>,
     secret: &Secret,
 ) -> Result<Open, StartError> {
@@ -297,20 +334,23 @@
     };
     let front = Front {
         context: context.clone(),
+        lease: links.lease.clone(),
         ring: rings.shift.clone(),
         tables,
     };
     let (told, announce) = (context.clone(), rings.announce.clone());
     let (served, slots) = (context.clone(), rings.slots.clone());
     // Duties add the methods that their like on other VMs call.
-    let module = RpcModule::new(());
+    let mut module = RpcModule::new(());
+    spread::register(&mut module, links.source.clone())?;
+    let lease = links.lease.clone();
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
     };
     let callers = Box::new(move || callers::handler(front));
     let upstreams = Box::new(move || announce::handler(&told, announce));
-    let peers = Box::new(move || peers::handler(served, module, slots));
+    let peers = Box::new(move || peers::handler(served, lease, module, slots));
     let admin = Box::new(move || admin::handler(board));
     Ok(Open {
         callers: listen("callers", addresses.callers, None, callers)?,
--- a/src/forward/receive.rs
+++ b/src/forward/receive.rs
@@ -7,6 +7,7 @@
         context::Context,
         edge::Outgoing,
         keys::RequestId,
+        membership::Lease,
         ring::{Rejected, Sender},
         slots,
     },
@@ -18,12 +19,21 @@
 static NEXT: AtomicU64 = AtomicU64::new(1 << 63);
 
 /// Runs a forwarded request here and answers with its outcome.
-pub async fn receive(context: &Context, slots: &Sender<slots::Message>, body: &[u8]) -> Outgoing {
+pub async fn receive(
+    context: &Context,
+    lease: &Lease,
+    slots: &Sender<slots::Message>,
+    body: &[u8],
+) -> Outgoing {
     let Ok(forwarded) = postcard::from_bytes::<Forwarded>(body) else {
         return Outgoing::refusal(400, "malformed");
     };
     let _guard = context.enter();
-    let outcome = run(context, slots, forwarded).await;
+    let outcome = if lease.holds(context.clock.now()) {
+        run(context, slots, forwarded).await
+    } else {
+        Err(Refusal::not_run(Reason::NotJoined))
+    };
     context.metrics.count("forwarded_in", 1);
     match encode::outcome(&outcome) {
         Ok(bytes) => Outgoing::new(200, "application/octet-stream", bytes),
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -38,6 +38,8 @@
     pub struct UpstreamKey;
     /// An attempt in flight, with a generation.
     pub struct FlightKey;
+    /// A member's row in an arena, with a generation.
+    pub struct MemberKey;
     /// A claim's row in an arena, with a generation.
     pub struct ClaimKey;
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod callers;
 pub mod forward;
 pub mod lookup;
+pub mod membership;
 pub mod peers;
 pub mod relay;
 pub mod shift;
--- a/src/lookup/messages.rs
+++ b/src/lookup/messages.rs
@@ -6,7 +6,7 @@
 };
 
 /// An entry VM as its peers know it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Vm {
     /// Name.
     pub name: String,
@@ -16,6 +16,8 @@
     pub callers: SocketAddr,
     /// Free slots that it last reported.
     pub free: u32,
+    /// Whether it did not answer its peers lately.
+    pub suspect: bool,
 }
 
 /// What the duty is told.
--- a/src/lookup/tests.rs
+++ b/src/lookup/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the ranking.
 
 use {
-    super::{decide::rank, messages::Vm, state::State},
+    super::{decide::rank, messages::Vm, settings::Settings, state::State},
     crate::{
         context::Context,
         keys::ZoneKey,
@@ -27,6 +27,7 @@
         zone: ZoneKey(zone),
         callers: "127.0.0.1:1".parse().unwrap(),
         free: 5,
+        suspect: false,
     }
 }
 
@@ -42,7 +43,7 @@
 }
 
 fn names(state: &State) -> Vec<String> {
-    rank(state, &context(), 9)
+    rank(state, &context(), Settings::default())
         .rows
         .into_iter()
         .map(|row| row.vm)
@@ -70,3 +71,22 @@
     state.stopping = true;
     assert_eq!(names(&state), ["t2", "d1"]);
 }
+
+#[test]
+fn answers_are_bounded_and_keep_rows_for_other_zones() {
+    let mut state = state(vec![]);
+    for number in 0..9 {
+        state.vms.push(vm(&format!("more-{number}"), 0));
+    }
+    state.vms[3].suspect = true;
+    let settings = Settings {
+        rows: 5,
+        far: 2,
+        ..Settings::default()
+    };
+    let rows = rank(&state, &context(), settings).rows;
+    let zones: Vec<u16> = rows.iter().map(|row| row.zone.0).collect();
+    assert_eq!(zones, [0, 0, 0, 1, 2]);
+    let all = rank(&state, &context(), Settings::default()).rows;
+    assert_eq!((all[9].vm.as_str(), all[9].weight), ("more-0", 1));
+}
--- a/src/lookup/thread.rs
+++ b/src/lookup/thread.rs
@@ -41,7 +41,7 @@
             Message::Policy(policy) => state.policy = policy,
             Message::Stopping => state.stopping = true,
         }
-        let table = decide::rank(&state, context, settings.ttl_ms);
+        let table = decide::rank(&state, context, settings);
         tables.send_if_modified(|last| {
             let changed = **last != table;
             if changed {
--- /dev/null
+++ b/src/membership/tests/mod.rs
@@ -0,0 +1,318 @@
+//! Tests of the membership decisions, alone and as a small network of cores.
+
+mod fuzz;
+mod net;
+
+use {
+    super::{
+        codec::Codec,
+        decide, merge,
+        messages::{Datagram, Fault, Free, Kind, Member, Standing, Summary},
+        select,
+        settings::Settings,
+        state::State,
+    },
+    crate::{
+        clock::Micros,
+        keys::{ServiceKey, ZoneKey},
+        settings::topology::Topology,
+    },
+    std::net::SocketAddr,
+};
+
+const ZONES: u16 = 3;
+const NOW: Micros = Micros(60_000_000);
+
+fn topology(zones: u16) -> Topology {
+    let mut topology = Topology::default();
+    let names = (0..zones).map(|zone| format!("zone-{zone}")).collect();
+    topology.add_region("derwent".to_owned(), names);
+    topology.add_service("cellwatch".to_owned(), vec![]);
+    topology.add_service("swapdesk".to_owned(), vec![]);
+    topology
+}
+
+fn codec() -> Codec {
+    Codec::new(b"0123456789abcdef", &topology(ZONES)).unwrap()
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + number))
+}
+
+fn member(number: u16, zone: u16) -> Member {
+    Member {
+        name: format!("vm-{number}"),
+        zone: ZoneKey(zone),
+        members: address(number),
+        callers: address(number),
+        peers: address(number),
+        incarnation: 1_000,
+        standing: Standing::Alive,
+        beat: 1,
+        free: vec![Free {
+            service: ServiceKey(1),
+            slots: u32::from(number),
+        }],
+        version: 7,
+    }
+}
+
+fn state() -> State {
+    let mut state = State::new(Settings::default(), member(0, 0), NOW);
+    decide::set_version(&mut state, 7);
+    decide::tick(&mut state, NOW, 1);
+    state
+}
+
+fn datagram(from: Member, sequence: u64, kind: Kind) -> Datagram {
+    Datagram {
+        sequence,
+        kind,
+        from,
+        members: vec![],
+        zones: vec![],
+    }
+}
+
+#[test]
+fn a_vm_without_others_serves_from_its_first_round() {
+    assert!(decide::serves(&state()));
+    assert!(decide::view(&state(), NOW).joined);
+}
+
+#[test]
+fn without_a_configuration_a_vm_does_not_serve() {
+    let mut state = State::new(Settings::default(), member(0, 0), NOW);
+    decide::tick(&mut state, NOW, 1);
+    assert!(!decide::serves(&state));
+    decide::set_version(&mut state, 0);
+    assert!(decide::serves(&state));
+}
+
+#[test]
+fn an_earlier_incarnation_is_refused_and_learns_the_known_one() {
+    let mut state = state();
+    merge::absorb(&mut state, member(1, 0), NOW);
+    let old = Member {
+        incarnation: 999,
+        ..member(1, 0)
+    };
+    let refused = decide::receive(&mut state, datagram(old, 1, Kind::Ping), address(1), NOW);
+    let dropped = refused.unwrap_err();
+    assert_eq!(dropped.fault, Fault::Outdated);
+    assert_eq!(dropped.reply[0].datagram.members, [member(1, 0)]);
+    // The restarted VM, whose clock was set back, goes above what is known of it.
+    let mut restarted = State::new(
+        Settings::default(),
+        Member {
+            incarnation: 999,
+            ..member(1, 0)
+        },
+        NOW,
+    );
+    merge::absorb(&mut restarted, member(1, 0), NOW);
+    assert!(restarted.own.incarnation > 1_000);
+}
+
+#[test]
+fn a_datagram_from_long_ago_is_refused() {
+    let mut state = state();
+    let ping = |sequence| datagram(member(1, 0), sequence, Kind::Ping);
+    assert!(decide::receive(&mut state, ping(1_000), address(1), NOW).is_ok());
+    assert!(decide::receive(&mut state, ping(900), address(1), NOW).is_ok());
+    let refused = decide::receive(&mut state, ping(1), address(1), NOW);
+    assert_eq!(refused.unwrap_err().fault, Fault::Replayed);
+}
+
+#[test]
+fn another_vm_of_this_name_is_refused() {
+    let ping = datagram(member(0, 0), 1, Kind::Ping);
+    let refused = decide::receive(&mut state(), ping, address(1), NOW);
+    assert_eq!(refused.unwrap_err().fault, Fault::OwnName);
+}
+
+#[test]
+fn a_vm_that_stood_still_joins_again_before_it_serves() {
+    let mut state = state();
+    merge::absorb(&mut state, member(1, 0), NOW);
+    decide::tick(&mut state, NOW.plus_millis(500), 1);
+    let (before, sequence) = (state.own.incarnation, state.sequence);
+    let later = NOW.plus_millis(60_000);
+    decide::tick(&mut state, later, 2);
+    assert!(!decide::serves(&state));
+    assert!(state.own.incarnation > before);
+    // An answer to a ping from before proves nothing.
+    let ack = |sequence, probe| datagram(member(1, 0), sequence, Kind::Ack(probe));
+    decide::receive(&mut state, ack(1, sequence), address(1), later).unwrap();
+    assert!(!decide::serves(&state));
+    let latest = state.sequence;
+    decide::receive(&mut state, ack(2, latest), address(1), later).unwrap();
+    assert!(decide::serves(&state));
+    assert!(state.own.incarnation > before + 1);
+}
+
+#[test]
+fn others_ping_a_silent_member_before_it_is_suspect() {
+    let mut state = state();
+    for number in 1..3 {
+        merge::absorb(&mut state, member(number, 0), NOW);
+    }
+    let mut now = NOW.plus_millis(500);
+    decide::tick(&mut state, now, 1);
+    now = now.plus_millis(500);
+    let out = decide::tick(&mut state, now, 1);
+    let relayed: Vec<_> = out
+        .iter()
+        .filter_map(|out| match &out.datagram.kind {
+            Kind::Relay { target, probe } if target == "vm-1" => Some((out.to, *probe)),
+            _ => None,
+        })
+        .collect();
+    let [(to, probe)] = relayed[..] else {
+        panic!("{relayed:?}")
+    };
+    assert_eq!(to, address(2));
+    assert_eq!(state.row("vm-1").unwrap().member.standing, Standing::Alive);
+    // The helper's answer counts as one of the member; without one it is suspect.
+    let ack = datagram(member(2, 0), 1, Kind::Ack(probe));
+    decide::receive(&mut state, ack, address(2), now).unwrap();
+    decide::tick(&mut state, now.plus_millis(500), 1);
+    assert_eq!(state.row("vm-1").unwrap().member.standing, Standing::Alive);
+    for round in 2..5 {
+        decide::tick(&mut state, now.plus_millis(500 * round), 1);
+    }
+    assert_eq!(
+        state.row("vm-1").unwrap().member.standing,
+        Standing::Suspect
+    );
+}
+
+#[test]
+fn an_evicted_member_that_was_forgotten_does_not_live_on_in_tales() {
+    let mut state = state();
+    let dead = Member {
+        standing: Standing::Dead,
+        ..member(1, 0)
+    };
+    merge::absorb(&mut state, member(1, 0), NOW);
+    merge::absorb(&mut state, dead.clone(), NOW);
+    decide::tick(&mut state, NOW.plus_millis(1_000), 1);
+    assert!(state.row("vm-1").is_some());
+    decide::tick(&mut state, NOW.plus_millis(3_600_000), 1);
+    merge::absorb(&mut state, dead, NOW);
+    assert!(state.row("vm-1").is_none());
+}
+
+#[test]
+fn evicted_and_leaving_members_are_not_shown() {
+    let mut state = state();
+    for (number, standing) in [Standing::Alive, Standing::Suspect, Standing::Leaving]
+        .into_iter()
+        .enumerate()
+    {
+        let number = u16::try_from(number).unwrap() + 1;
+        merge::absorb(&mut state, member(number, 0), NOW);
+        let said = Member {
+            standing,
+            ..member(number, 0)
+        };
+        merge::absorb(&mut state, said, NOW);
+    }
+    let names: Vec<String> = decide::view(&state, NOW)
+        .rows
+        .into_iter()
+        .map(|row| row.name)
+        .collect();
+    assert_eq!(names, ["vm-0", "vm-1", "vm-2"]);
+}
+
+#[test]
+fn members_of_a_zone_that_was_not_heard_of_are_not_shown() {
+    let mut state = state();
+    merge::absorb(&mut state, member(1, 1), NOW);
+    let shown = |state: &State, now| decide::view(state, now).rows.len();
+    assert_eq!(shown(&state, NOW), 1);
+    merge::absorb_zone(
+        &mut state,
+        Summary {
+            zone: ZoneKey(1),
+            made: NOW,
+            free: vec![],
+            version: 7,
+        },
+    );
+    assert_eq!(shown(&state, NOW), 2);
+    assert_eq!(shown(&state, NOW.plus_millis(10_000)), 1);
+}
+
+#[test]
+fn an_encoded_datagram_is_bounded_and_a_cut_page_goes_on_where_it_was_cut() {
+    let long = |number: u16| Member {
+        name: format!("{number:064}"),
+        ..member(number, 0)
+    };
+    let mut page = datagram(member(0, 0), 1, Kind::Listed(String::new()));
+    page.members = (0..30).map(long).collect();
+    let bytes = codec().encode(page, NOW);
+    assert!(bytes.len() <= super::codec::MOST_BYTES);
+    let read = codec().decode(&bytes, NOW).unwrap();
+    let last = read.members.last().unwrap().name.clone();
+    assert!(read.members.len() < 30);
+    assert_eq!(read.kind, Kind::Listed(last));
+}
+
+#[test]
+fn pages_hold_every_member_once() {
+    let mut state = state();
+    for number in 1..40 {
+        merge::absorb(&mut state, member(number, 0), NOW);
+    }
+    let (mut names, mut after) = (Vec::new(), String::new());
+    loop {
+        let (members, next) = select::page(&state, &after);
+        names.extend(members.into_iter().map(|member| member.name));
+        if next.is_empty() {
+            break;
+        }
+        after = next;
+    }
+    names.dedup();
+    assert_eq!(names.len(), 39);
+}
+
+#[test]
+fn names_of_zones_and_services_survive_another_order_of_the_settings() {
+    let mut other = Topology::default();
+    let names = ["zone-2", "zone-9", "zone-0"].map(str::to_owned).to_vec();
+    other.add_region("tamar".to_owned(), names);
+    other.add_service("swapdesk".to_owned(), vec![]);
+    let other = Codec::new(b"0123456789abcdef", &other).unwrap();
+    let bytes = codec().encode(datagram(member(1, 2), 1, Kind::Ping), NOW);
+    let read = other.decode(&bytes, NOW).unwrap();
+    assert_eq!(read.from.zone, ZoneKey(0));
+    assert_eq!(read.from.free[0].service, ServiceKey(0));
+    let unknown = codec().encode(datagram(member(1, 1), 1, Kind::Ping), NOW);
+    assert_eq!(other.decode(&unknown, NOW).unwrap_err(), Fault::UnknownZone);
+}
+
+#[test]
+fn damaged_and_foreign_datagrams_are_refused() {
+    let bytes = codec().encode(datagram(member(1, 1), 1, Kind::Ping), NOW);
+    assert!(codec().decode(&bytes, NOW).is_ok());
+    for at in 0..bytes.len() {
+        let mut damaged = bytes.clone();
+        damaged[at] ^= 1;
+        let refused = codec().decode(&damaged, NOW);
+        assert_eq!(refused.unwrap_err(), Fault::Unauthenticated);
+    }
+    let foreign = Codec::new(b"another secret--", &topology(ZONES)).unwrap();
+    assert_eq!(
+        foreign.decode(&bytes, NOW).unwrap_err(),
+        Fault::Unauthenticated
+    );
+    // Whatever arrives, nothing panics, and only what was signed is taken.
+    bolero::check!()
+        .with_iterations(2_000)
+        .for_each(|bytes| assert!(codec().decode(bytes, NOW).is_err()));
+}
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -47,6 +47,14 @@
     CONFIG_APPLIED = 1301 Info "Configuration applied", "None.";
     CONTROL_UNREACHABLE = 1302 Warn "No control VM could be reached", "Check control VMs and the network; traffic goes on with the last configuration.";
     RING_FULL = 1401 Warn "Ring between two duties was full", "The VM is overloaded; add entry VMs.";
+    MEMBER_UP = 2101 Info "Entry VM joined or came back", "None.";
+    MEMBER_DOWN = 2102 Warn "Entry VM evicted after it stopped answering", "Check the VM and its network.";
+    MEMBER_LEFT = 2103 Info "Entry VM is leaving", "None.";
+    MEMBER_FROZEN = 2104 Warn "This VM did not run for longer than its lease and joins again", "Find out what stopped the VM; it serves nothing until it has joined.";
+    MEMBER_NAME_TAKEN = 2105 Error "Another VM uses the name of this one", "Give each entry VM its own `vm`.";
+    CONFIG_MISMATCH = 2111 Error "Two configurations of one version differ", "None: fetched again from control. Report it if it repeats.";
+    CONFIG_FLOOR = 2112 Warn "Started without an answer of the zone or control", "Check seeds, control VMs and the network; the last known configuration serves.";
+    CONFIG_DISK = 2113 Warn "Configuration could not be kept on disk", "Check `data_dir`; peers hold the configuration too.";
 }
 
 /// Writes an event to the log.
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -5,6 +5,7 @@
     crate::{
         edge::{Secret, client::Client},
         policy::{Accepted, Command, state::Receipt},
+        spread::FleetRow,
     },
     jsonrpsee::core::ClientError,
     serde::{Serialize, de::DeserializeOwned},
@@ -82,6 +83,32 @@
             .await
     }
 
+    /// Reads the version in force on each entry VM, by name. Each control VM knows what it was
+    /// told, so all are asked and the latest report of each VM counts.
+    ///
+    /// # Errors
+    /// No control VM answered.
+    pub async fn fleet(&self) -> Result<Vec<FleetRow>, OperatorError> {
+        let mut tried = Vec::new();
+        let mut rows: Vec<FleetRow> = Vec::new();
+        for address in &self.addresses {
+            let none = serde_json::json!({});
+            match self
+                .call_one::<Vec<FleetRow>>(*address, "fleet", &none)
+                .await
+            {
+                Ok(told) => rows.extend(told),
+                Err(error) => tried.push(format!("{address}: {error}")),
+            }
+        }
+        if tried.len() == self.addresses.len() {
+            return NoAnswerSnafu { tried }.fail();
+        }
+        rows.sort_by(|a, b| (&a.vm, a.age_ms).cmp(&(&b.vm, b.age_ms)));
+        rows.dedup_by(|later, first| later.vm == first.vm);
+        Ok(rows)
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         method: &str,
--- a/src/operator/encode.rs
+++ b/src/operator/encode.rs
@@ -10,6 +10,7 @@
         },
         policy::{self, Accepted, Cap, Command, Drain, Policy, Rejection, Shift, state::Receipt},
         ring::Sender,
+        spread::Fleet,
     },
     jsonrpsee::{RpcModule, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
@@ -50,6 +51,7 @@
 struct State {
     context: Context,
     ring: Sender<Message>,
+    fleet: Fleet,
 }
 
 type Answer<T> = Result<T, ErrorObjectOwned>;
@@ -61,9 +63,14 @@
 pub fn handler(
     context: &Context,
     ring: Sender<Message>,
+    fleet: Fleet,
 ) -> Result<Handler, jsonrpsee::core::RegisterMethodError> {
     let context = context.clone();
-    let mut module = RpcModule::new(State { context, ring });
+    let mut module = RpcModule::new(State {
+        context,
+        ring,
+        fleet,
+    });
     module.register_async_method("submit", |params, state, _| async move {
         submit(&state, rpc::params(&params)?).await
     })?;
@@ -78,6 +85,10 @@
         let HistoryParams { limit } = rpc::params(&params)?;
         history(&state, limit).await
     })?;
+    module.register_method("fleet", |params, state, _| {
+        let Nothing {} = rpc::params(&params)?;
+        Ok::<_, ErrorObjectOwned>(state.fleet.rows())
+    })?;
     Ok(rpc::handler(module))
 }
 
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -100,5 +100,5 @@
         .filter_map(|row| row["name"].as_str())
         .collect();
     names.sort_unstable();
-    assert_eq!(names, ["check", "history", "status", "submit"]);
+    assert_eq!(names, ["check", "fleet", "history", "status", "submit"]);
 }
--- a/src/peers/handler.rs
+++ b/src/peers/handler.rs
@@ -5,6 +5,7 @@
         context::Context,
         edge::{Handler, Outgoing, rpc},
         forward,
+        membership::Lease,
         ring::Sender,
         slots,
     },
@@ -15,14 +16,22 @@
 /// Serves the peers of this VM. Forwarded requests go to `slots`: their way was decided where
 /// they entered the system.
 #[must_use]
-pub fn handler(context: Context, module: RpcModule<()>, slots: Sender<slots::Message>) -> Handler {
+pub fn handler(
+    context: Context,
+    lease: Lease,
+    module: RpcModule<()>,
+    slots: Sender<slots::Message>,
+) -> Handler {
     let methods = rpc::handler(module);
-    let context = Rc::new(context);
+    let context = Rc::new((context, lease));
     Rc::new(move |incoming| match incoming.path() {
         b"/rpc" => methods(incoming),
         b"/forward" => {
             let (context, slots) = (Rc::clone(&context), slots.clone());
-            Box::pin(async move { forward::receive(&context, &slots, &incoming.body).await })
+            Box::pin(async move {
+                let (context, lease) = &*context;
+                forward::receive(context, lease, &slots, &incoming.body).await
+            })
         }
         _ => Box::pin(async { Outgoing::refusal(404, "unknown_path") }),
     })
--- a/src/spread/settings.rs
+++ b/src/spread/settings.rs
@@ -7,10 +7,14 @@
 pub struct Settings {
     /// Peer listeners of the control VMs.
     pub control: Vec<SocketAddr>,
-    /// Milliseconds for which a control VM may hold an answer back.
+    /// Milliseconds for which an answer may be held back.
     pub hold_ms: u64,
-    /// Milliseconds to wait after every control VM failed.
+    /// Milliseconds to wait after everyone asked failed.
     pub retry_ms: u64,
+    /// Milliseconds at most that a start waits for the zone's version.
+    pub start_ms: u64,
+    /// Folder that keeps the last configuration; empty on a VM without a disk.
+    pub data_dir: String,
 }
 
 impl Default for Settings {
@@ -19,6 +23,8 @@
             control: Vec::new(),
             hold_ms: 2_000,
             retry_ms: 200,
+            start_ms: 3_000,
+            data_dir: String::new(),
         }
     }
 }
@@ -31,6 +37,8 @@
             control: section.addresses("control"),
             hold_ms: section.number("hold_ms", base.hold_ms, 10..=60_000),
             retry_ms: section.number("retry_ms", base.retry_ms, 10..=60_000),
+            start_ms: section.number("start_ms", base.start_ms, 0..=600_000),
+            data_dir: section.text("data_dir", &base.data_dir),
         }
     }
 }
