--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -4,7 +4,7 @@
     crate::{
         announce,
         edge::Limits,
-        forward,
+        explain, forward,
         keys::ZoneKey,
         lookup, membership, relay,
         settings::{section::Section, topology::Topology},
@@ -92,6 +92,8 @@
     pub forward: forward::Settings,
     /// Members.
     pub membership: membership::Settings,
+    /// Remembered decisions.
+    pub explain: explain::Settings,
     /// Configuration.
     pub spread: spread::Settings,
 }
@@ -122,6 +124,7 @@
             relay: section.section("relay", relay::Settings::read),
             forward: section.section("forward", forward::Settings::read),
             membership: section.section("membership", membership::Settings::read),
+            explain: section.section("explain", explain::Settings::read),
             spread: section.section("spread", spread::Settings::read),
         }
     }
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -10,7 +10,7 @@
         callers::{self, Front},
         context::Context,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
-        forward, lookup,
+        explain, forward, lookup,
         membership::{self, Lease},
         observe::{Event, report},
         peers,
@@ -78,6 +78,7 @@
     shift: ring::Sender<shift::Message>,
     pub slots: ring::Sender<slots::Message>,
     membership: ring::Sender<membership::Message>,
+    explain: ring::Sender<explain::Message>,
     pub out: slots::Out,
 }
 
@@ -87,6 +88,7 @@
     announce: Ring<announce::Message>,
     shift: Ring<shift::Message>,
     slots: Ring<slots::Message>,
+    explain: Ring<explain::Message>,
     relay: Inbox<Dispatch>,
     forward: Inbox<forward::Message>,
 }
@@ -105,6 +107,7 @@
     let (announce, announce_end) = ring::bounded(capacity);
     let (shift, shift_end) = ring::bounded(capacity);
     let (slots, slots_end) = ring::bounded(capacity);
+    let (explain, explain_end) = ring::bounded(capacity);
     let (relay, relay_end) = ring::awaited(capacity);
     let (forward, forward_end) = ring::awaited(capacity);
     let rings = Rings {
@@ -113,6 +116,7 @@
         shift,
         slots,
         membership,
+        explain,
         out: slots::Out { relay, forward },
     };
     let ends = Ends {
@@ -120,6 +124,7 @@
         announce: announce_end,
         shift: shift_end,
         slots: slots_end,
+        explain: explain_end,
         relay: relay_end,
         forward: forward_end,
     };
@@ -133,9 +138,10 @@
     /// A thread or listener cannot start.
     pub fn start(settings: Settings, secret: &Secret) -> Result<Self, StartError> {
         let topology = Arc::new(settings.topology.clone());
-        let context = Context::new(&settings.vm, settings.zone, topology);
+        let mut context = Context::new(&settings.vm, settings.zone, topology);
         let (membership, membership_end) = ring::bounded(settings.ring);
         let (rings, ends) = rings(settings.ring, membership);
+        context.notes = Some(rings.explain.clone());
         let bound = membership::bind(settings.listeners.members);
         let bound = bound.context(ThreadSnafu { name: "membership" })?;
         let (links, feeds) = links();
@@ -201,7 +207,8 @@
 
     /// Ends gracefully: look-ups stop naming this VM, new work is refused, work in flight ends.
     pub fn stop(self) {
-        report(Event::STOPPING, format_args!("entry {}", self.context.vm));
+        let vm = Arc::clone(&self.context.vm);
+        report(Event::STOPPING, format_args!("entry {vm}"));
         // The duty may have ended already, then nothing names this VM any more.
         let _ = self.rings.lookup.send(lookup::Message::Stopping);
         let _ = self.rings.membership.send(membership::Message::Leaving);
@@ -214,11 +221,12 @@
         self.open.admin.join();
         drop(self.rings);
         drop(self.stops);
+        drop(self.context);
         for thread in self.threads {
             // A panicked duty has been reported by the panic hook.
             let _ = thread.join();
         }
-        report(Event::STOPPED, format_args!("entry {}", self.context.vm));
+        report(Event::STOPPED, format_args!("entry {vm}"));
     }
 
     fn await_work(&self) {
@@ -279,7 +287,9 @@
         slots(),
         stop(),
     );
+    let explain = explain::spawn(settings.explain, ends.explain);
     Ok(vec![
+        named("explain", explain)?,
         named("lookup", lookup)?,
         named("announce", announce)?,
         named("shift", shift)?,
--- a/src/lookup/decide.rs
+++ b/src/lookup/decide.rs
@@ -11,7 +11,8 @@
 };
 
 /// Ranks the VMs that may be named: own zone, then own region, then the rest.
-pub(super) fn rank(state: &State, context: &Context, settings: Settings) -> Table {
+#[must_use]
+pub fn rank(state: &State, context: &Context, settings: Settings) -> Table {
     let mut vms: Vec<_> = state
         .vms
         .iter()
