--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -52,7 +52,7 @@
         };
         let start = Instant::now();
         for _ in 0..ROUNDS {
-            black_box(lookup::rank(&state, &context, 1_000));
+            black_box(lookup::rank(&state, &context, lookup::Settings::default()));
         }
         println!(
             "{count} {}",
@@ -67,6 +67,7 @@
         zone: ZoneKey(at % 63),
         callers: "127.0.0.1:1".parse().expect("an address"),
         free: 5,
+        suspect: false,
     }
 }
 
--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -10,6 +10,7 @@
         explain::Step,
         keys::RequestId,
         lookup::Table,
+        membership::Lease,
         ring::{Rejected, Sender},
         shift,
     },
@@ -27,6 +28,8 @@
 pub struct Front {
     /// Who we are.
     pub context: Context,
+    /// Lease under which this VM serves.
+    pub lease: Lease,
     /// Where requests go.
     pub ring: Sender<shift::Message>,
     /// Rankings of the look-up duty.
@@ -91,6 +94,9 @@
         if self.front.context.stopping() {
             return Err(Refusal::not_run(Reason::Stopping));
         }
+        if !self.front.lease.holds(self.front.context.clock.now()) {
+            return Err(Refusal::not_run(Reason::NotJoined));
+        }
         let decoded = decode::decode(&self.front.context, id, incoming)?;
         let version = self.front.tables.borrow().version;
         let kind = decoded.meta.kind;
--- a/src/operator/encode.rs
+++ b/src/operator/encode.rs
@@ -11,6 +11,7 @@
         policy::{self, Accepted, Cap, Command, Drain, Policy, Rejection, Shift, state::Receipt},
         ring::Sender,
         settings::section::is_name,
+        spread::Fleet,
     },
     jsonrpsee::{RpcModule, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
@@ -65,6 +66,7 @@
 struct State {
     context: Context,
     ring: Sender<Message>,
+    fleet: Fleet,
 }
 
 type Answer<T> = Result<T, ErrorObjectOwned>;
@@ -76,9 +78,14 @@
 pub fn handler(
     context: &Context,
     ring: Sender<Message>,
+    fleet: Fleet,
 ) -> Result<Handler, jsonrpsee::core::RegisterMethodError> {
     let context = context.clone();
-    let mut module = RpcModule::new(State { context, ring });
+    let mut module = RpcModule::new(State {
+        context,
+        ring,
+        fleet,
+    });
     module.register_async_method("submit", |params, state, _| async move {
         submit(&state, rpc::params(&params)?).await
     })?;
@@ -94,6 +101,10 @@
         history(&state, limit).await
     })?;
     register_members(&mut module)?;
+    module.register_method("fleet", |params, state, _| {
+        let Nothing {} = rpc::params(&params)?;
+        Ok::<_, ErrorObjectOwned>(state.fleet.rows())
+    })?;
     Ok(rpc::handler(module))
 }
 
