--- a/src/call.rs
+++ b/src/call.rs
@@ -70,11 +70,13 @@
     Cancelled,
     /// The upstream's answer names another request.
     AnswerMismatch,
+    /// This VM has not joined the others yet, or not again after it stood still.
+    NotJoined,
 }
 
 impl Reason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::RingFull,
         Self::Stopping,
         Self::UnknownKind,
@@ -98,6 +100,7 @@
         Self::PeerUnreachable,
         Self::Cancelled,
         Self::AnswerMismatch,
+        Self::NotJoined,
     ];
 
     /// The name used in answers and counters.
@@ -131,6 +134,7 @@
             Self::PeerUnreachable => "peer_unreachable",
             Self::Cancelled => "cancelled",
             Self::AnswerMismatch => "answer_mismatch",
+            Self::NotJoined => "not_joined",
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod drain;
 pub mod forward;
 pub mod lookup;
+pub mod membership;
 pub mod peers;
 pub mod relay;
 pub mod shift;
