Count the drain of an upstream that goes with nothing in flight

Ruled out: a lost message (the ring was not full) and slowness (60 s of waiting). Change: an absence that removes an idle row is told as a drain with nothing left, kept until taken.

--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -10,9 +10,11 @@
     },
     crate::{
         call::{Answer, Payload, Reason, Refusal},
+        clock::Micros,
         context::Context,
         fuzz,
         keys::{ServiceKey, ZoneKey},
+        membership::Lease,
         ring,
         settings::topology::{Kind, Topology},
         slots,
@@ -111,10 +113,12 @@
             },
         };
         let bytes = postcard::to_stdvec(&forwarded).unwrap();
+        let lease = Lease::default();
+        lease.extend(Micros(u64::MAX));
         runtime.block_on(async {
             tokio::select! {
                 biased;
-                _ = receive(&context, &slots, &bytes) => panic!("nobody answers"),
+                _ = receive(&context, &lease, &slots, &bytes) => panic!("nobody answers"),
                 () = std::future::ready(()) => {}
             }
         });
--- a/src/slots/decide.rs
+++ b/src/slots/decide.rs
@@ -8,9 +8,10 @@
         state::{Flight, Request, Row, State},
     },
     crate::{
-        announce::{Announcement, Notice},
+        announce::{Absence, Announcement, Notice},
         call::{Ran, Reason},
         clock::Micros,
+        drain::{Cause, Closing},
         keys::{FlightKey, KindKey, ServiceKey, UpstreamKey},
         policy::{Drain, Policy},
         relay::Failure,
@@ -214,6 +215,38 @@
     }
 }
 
+/// The drain of an upstream that goes with nothing in flight: it is over as it begins.
+pub(super) fn leaves_idle(state: &State, notice: &Notice) -> Option<Closing> {
+    let Notice::Absent { key, why } = notice else {
+        return None;
+    };
+    let row = state.rows.get(*key).filter(|row| row.taken == 0)?;
+    Some(Closing {
+        name: row.said.name.clone(),
+        cause: cause(*why),
+        left: 0,
+    })
+}
+
+/// The drain of an upstream that gets no new work.
+pub(super) fn closing(row: &Row) -> Option<Closing> {
+    let ordered = row.drained.then_some(Cause::Operator);
+    Some(Closing {
+        name: row.said.name.clone(),
+        cause: row.absence.map(cause).or(ordered)?,
+        left: row.taken,
+    })
+}
+
+fn cause(why: Absence) -> Cause {
+    match why {
+        Absence::Leaving => Cause::Leaving,
+        Absence::Lapsed => Cause::Lapsed,
+        Absence::Moved | Absence::Replaced => Cause::Moved,
+        Absence::Released => Cause::Operator,
+    }
+}
+
 fn join(
     state: &mut State,
     settings: Settings,
--- a/src/slots/tests/mod.rs
+++ b/src/slots/tests/mod.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        decide::{Grant, apply_policy, fail, free, may_retry, notice, pay, succeed},
+        decide::{Grant, apply_policy, fail, free, leaves_idle, may_retry, notice, pay, succeed},
         queue::{Placed, place},
         settings::Settings,
         state::{Request, State},
@@ -190,6 +190,16 @@
     assert!(home.take().is_ok());
 }
 
+#[test]
+fn an_upstream_that_goes_idle_is_a_drain_that_is_over() {
+    let mut home = Home::default();
+    let (idle, busy) = (home.join(said("u1", 1)), home.join(said("u2", 9)));
+    home.take().unwrap();
+    let why = Absence::Leaving;
+    let left = |key| leaves_idle(&home.state, &Notice::Absent { key, why }).map(|row| row.left);
+    assert_eq!((left(idle), left(busy)), (Some(0), None));
+}
+
 #[test]
 fn a_late_request_takes_no_slot() {
     let mut home = Home::default();
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -10,11 +10,11 @@
         state::{Request, Row, State},
     },
     crate::{
-        announce::{self, Absence},
+        announce,
         call::{Answer, Call, Ran, Reason, Refusal},
         clock::Micros,
         context::Context,
-        drain::{self, Cause, Closing},
+        drain::{self, Closing},
         explain::Step,
         forward,
         keys::{FlightKey, ServiceKey, UpstreamKey, WaitKey},
@@ -48,6 +48,7 @@
         policy: Arc::default(),
         calls: SecondaryMap::default(),
         told: None,
+        idle: Vec::new(),
     };
     std::thread::Builder::new()
         .name("slots".to_owned())
@@ -75,6 +76,8 @@
     calls: SecondaryMap<WaitKey, Call>,
     /// What the drain duty was last told; `None` when it has to be told anew.
     told: Option<Vec<Closing>>,
+    /// Drains that ended as they began, until the drain duty knows.
+    idle: Vec<Closing>,
     /// When the levels were last published.
     levelled: Micros,
 }
@@ -108,6 +111,7 @@
             } => self.done(flight, call, result),
             Message::Upstream(notice) => {
                 let now = self.now();
+                self.idle.extend(decide::leaves_idle(&self.state, &notice));
                 decide::notice(&mut self.state, self.settings, &self.policy, notice, now);
             }
             Message::Policy(policy) => {
@@ -272,7 +276,8 @@
 
     /// Tells the drain duty which upstreams get no new work, if that has changed.
     fn tell_drain(&mut self) {
-        let closing: Vec<Closing> = self.state.rows.values().filter_map(closing).collect();
+        let rows = self.state.rows.values().filter_map(decide::closing);
+        let closing: Vec<Closing> = rows.chain(self.idle.iter().cloned()).collect();
         if self.told.as_ref() == Some(&closing) {
             return;
         }
@@ -280,8 +285,11 @@
             policy: Arc::clone(&self.policy),
             closing: closing.clone(),
         };
-        let sent = self.out.drain.offer(message);
-        self.told = sent.is_ok().then_some(closing);
+        let sent = self.out.drain.offer(message).is_ok();
+        if sent {
+            self.idle.clear();
+        }
+        self.told = sent.then_some(closing);
     }
 
     fn publish(&mut self) {
@@ -324,22 +332,6 @@
     }
 }
 
-fn closing(row: &Row) -> Option<Closing> {
-    let cause = match row.absence {
-        Some(Absence::Leaving) => Cause::Leaving,
-        Some(Absence::Lapsed) => Cause::Lapsed,
-        Some(Absence::Moved | Absence::Replaced) => Cause::Moved,
-        Some(Absence::Released) => Cause::Operator,
-        None if row.drained => Cause::Operator,
-        None => return None,
-    };
-    Some(Closing {
-        name: row.said.name.clone(),
-        cause,
-        left: row.taken,
-    })
-}
-
 fn status(row: &Row, now: Micros) -> Status {
     Status {
         name: row.said.name.clone(),
