Decide claims of idempotency keys on a majority of ledgers

Requests that run once need a claim that is durable on more than one VM before dispatch. Each try has an id of its own; a ledger grants a key to one try, and a try that holds a majority runs. One round of votes was taken before two rounds of prepared and accepted ballots: a split vote frees itself by release, and the second round would double the synced round trips of every booking.

A ledger that lost its disk grants nothing until it has copied from so many others that every majority which counted its lost vote is remembered, and not before every try that may still count that vote has ended.

--- a/src/keys.rs
+++ b/src/keys.rs
@@ -41,3 +41,8 @@
     /// A claim's row in an arena, with a generation.
     pub struct ClaimKey;
 }
+
+new_key_type! {
+    /// One try to claim an idempotency key, with a generation.
+    pub struct TryKey;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,8 @@
 // Duties of an entry VM.
 pub mod announce;
 pub mod callers;
+pub mod claims;
+pub mod ledger;
 pub mod lookup;
 pub mod relay;
 pub mod shift;
