--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,9 @@
 //! Every duty is a module with its own state, messages and tests; each runs on a thread of its
 //! own, and bounded rings join them. `docs/DESIGN.md` gives the map.
 
+#[cfg(test)]
+mod fuzz;
+
 // Shared vocabulary.
 pub mod call;
 pub mod clock;
@@ -16,8 +19,10 @@
 pub mod announce;
 pub mod callers;
 pub mod claims;
+pub mod forward;
 pub mod ledger;
 pub mod lookup;
+pub mod peers;
 pub mod relay;
 pub mod shift;
 pub mod slots;
@@ -31,6 +36,7 @@
 // Edges and what an operator sees.
 pub mod admin;
 pub mod edge;
+pub mod explain;
 pub mod observe;
 
 // Processes.
