Claim keys on ledgers before a booking is dispatched, through real processes

Between shift and slots a thread claims the idempotency key of each request that runs once on a majority of a group's ledgers, and stores the answer there before the caller sees it. Keys can be minted at POST /v1/key.

A refusal that frees the key is told before the release, as the simulation demanded.

--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -4,6 +4,7 @@
     super::{decode, encode},
     crate::{
         call::{Call, Outcome, Reason, Refusal},
+        claims,
         context::Context,
         edge::{Handler, Incoming, Outgoing},
         explain::Step,
@@ -30,6 +31,8 @@
     pub ring: Sender<shift::Message>,
     /// Rankings of the look-up duty.
     pub tables: watch::Receiver<Arc<Table>>,
+    /// Group of ledgers that idempotency keys are minted for.
+    pub group: Option<String>,
 }
 
 struct Local {
@@ -38,7 +41,7 @@
     lookup: RefCell<Option<(Arc<Table>, Bytes)>>,
 }
 
-/// Serves look-ups at `/v1/lookup` and requests at `/SERVICE/KIND`.
+/// Serves look-ups at `/v1/lookup`, new idempotency keys at `/v1/key` and requests at `/SERVICE/KIND`.
 #[must_use]
 pub fn handler(front: Front) -> Handler {
     let local = Rc::new(Local {
@@ -56,11 +59,22 @@
     async fn serve(&self, incoming: Incoming) -> Outgoing {
         match incoming.path() {
             b"/v1/lookup" if incoming.method == "GET" => self.lookup(),
-            b"/v1/lookup" => Outgoing::refusal(405, "method_not_allowed"),
+            b"/v1/key" if incoming.method == "POST" => self.mint(),
+            b"/v1/lookup" | b"/v1/key" => Outgoing::refusal(405, "method_not_allowed"),
             _ => self.relay(incoming).await,
         }
     }
 
+    /// An idempotency key whose ledgers are near.
+    fn mint(&self) -> Outgoing {
+        let Some(group) = &self.front.group else {
+            return Outgoing::refusal(503, Reason::ClaimUnavailable.name());
+        };
+        let key = claims::home::mint(group, rand::random());
+        let body = serde_json::json!({"idempotency_key": key}).to_string();
+        Outgoing::new(200, "application/json", body)
+    }
+
     /// Answers from the last ranking, encoded once.
     fn lookup(&self) -> Outgoing {
         let table = Arc::clone(&self.front.tables.borrow());
--- a/src/claims/home.rs
+++ b/src/claims/home.rs
@@ -31,6 +31,21 @@
     xxh3_64_with_seed(key, xxh3_64_with_seed(group.name.as_bytes(), 0))
 }
 
+/// The group that new keys of a region are minted for: its own, or else the first.
+///
+/// ```
+/// use siskinstep::claims::{Group, home};
+/// let group = |name: &str| Group { name: name.into(), ledgers: vec![] };
+/// let groups = [group("derwent"), group("tamar")];
+/// assert_eq!(home::own(&groups, "tamar").as_deref(), Some("tamar"));
+/// assert_eq!(home::own(&groups, "macquarie").as_deref(), Some("derwent"));
+/// ```
+#[must_use]
+pub fn own(groups: &[Group], region: &str) -> Option<String> {
+    let own = groups.iter().find(|group| group.name == region);
+    own.or(groups.first()).map(|group| group.name.clone())
+}
+
 /// A key homed in the group `name`.
 ///
 /// ```
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -4,9 +4,16 @@
 pub mod decide;
 pub mod encode;
 pub mod home;
+pub mod messages;
+pub mod send;
 pub mod settings;
 pub mod state;
 #[cfg(test)]
 mod tests;
+mod thread;
 
-pub use settings::{Group, Settings};
+pub use {
+    messages::{Broadcast, Message},
+    settings::{Group, Settings},
+    thread::{Wires, spawn},
+};
--- a/src/claims/tests/sim.rs
+++ b/src/claims/tests/sim.rs
@@ -237,9 +237,10 @@
         self.chaos();
         let pause = self.rng.random_range(0..500);
         self.after(pause, Event::Caller);
-        // Keys rise with time, and each is resent for some seconds.
+        // Keys rise with time; each is resent for some seconds, and now and then much later.
         let newest = usize::try_from(self.now / 1_000 * KEYS as u64 / END_MS).unwrap();
-        let key = newest.saturating_sub(self.rng.random_range(0..3));
+        let back = if self.chance(300) { newest + 1 } else { 3 };
+        let key = newest.saturating_sub(self.rng.random_range(0..back));
         let entry = self.rng.random_range(0..ENTRIES);
         let opening = Opening {
             group: 0,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        announce,
+        announce, claims,
         edge::Limits,
         explain, forward,
         keys::ZoneKey,
-        lookup, relay,
+        ledger, lookup, relay,
         settings::{section::Section, topology::Topology},
         slots, spread,
     },
@@ -70,6 +70,8 @@
     pub limits: Limits,
     /// File with the secret shared by operators and peers.
     pub secret_file: String,
+    /// Folder for what must survive a restart, empty on a VM without a disk.
+    pub data_dir: String,
     /// Messages that a ring holds.
     pub ring: usize,
     /// Milliseconds for which a stopping VM still serves callers that hold an older look-up.
@@ -88,6 +90,10 @@
     pub forward: forward::Settings,
     /// Remembered decisions.
     pub explain: explain::Settings,
+    /// Claims of idempotency keys.
+    pub claims: claims::Settings,
+    /// Durable votes on idempotency keys.
+    pub ledger: ledger::Settings,
     /// Configuration.
     pub spread: spread::Settings,
 }
@@ -102,13 +108,14 @@
         if zone.is_none() {
             section.reject("availability_zone", "expected a zone of `regions`");
         }
-        Self {
+        let settings = Self {
             vm,
             zone: zone.unwrap_or(ZoneKey(0)),
             topology,
             listeners: section.section("listeners", Listeners::read),
             limits: section.section("limits", Limits::read),
             secret_file: section.text("secret_file", "siskinstep.secret"),
+            data_dir: section.text("data_dir", ""),
             ring: section.size("ring", 4_096, 1..=1 << 20),
             linger_ms: section.number("linger_ms", 1_000, 0..=600_000),
             stop_ms: section.number("stop_ms", 30_000, 1..=3_600_000),
@@ -118,7 +125,26 @@
             relay: section.section("relay", relay::Settings::read),
             forward: section.section("forward", forward::Settings::read),
             explain: section.section("explain", explain::Settings::read),
+            claims: section.section("claims", claims::Settings::read),
+            ledger: section.section("ledger", ledger::Settings::read),
             spread: section.section("spread", spread::Settings::read),
+        };
+        if settings.data_dir.is_empty() && settings.other_ledgers().is_some() {
+            section.reject(
+                "data_dir",
+                "expected a folder, as this VM is a ledger of `claims`",
+            );
         }
+        settings
+    }
+
+    /// The other ledgers of this VM's group, or `None` if it is in no group.
+    #[must_use]
+    pub fn other_ledgers(&self) -> Option<Vec<SocketAddr>> {
+        let me = self.listeners.peers;
+        let groups = &mut self.claims.groups.iter();
+        let group = groups.find(|group| group.ledgers.contains(&me))?;
+        let others = group.ledgers.iter().copied().filter(|at| *at != me);
+        Some(others.collect())
     }
 }
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -5,9 +5,10 @@
     crate::{
         admin, announce,
         callers::{self, Front},
+        claims,
         context::Context,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
-        explain, forward, lookup,
+        explain, forward, ledger, lookup,
         observe::{Event, report},
         peers,
         relay::{self, Dispatch},
@@ -15,7 +16,7 @@
         shift, slots,
         spread::{self, Subscribers},
     },
-    jsonrpsee::RpcModule,
+    jsonrpsee::{RpcModule, core::RegisterMethodError},
     snafu::{ResultExt, Snafu},
     std::{
         io,
@@ -38,6 +39,12 @@
         /// Which and why.
         source: ListenError,
     },
+    /// Two RPC methods have one name.
+    #[snafu(display("{source}"), context(false))]
+    Register {
+        /// Which.
+        source: RegisterMethodError,
+    },
     /// A thread could not start.
     #[snafu(display("thread {name}: {source}"))]
     Thread {
@@ -65,6 +72,7 @@
     lookup: ring::Sender<lookup::Message>,
     announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
+    claims: claims::Wires,
     slots: ring::Sender<slots::Message>,
     explain: ring::Sender<explain::Message>,
     out: slots::Out,
@@ -75,6 +83,8 @@
     lookup: Ring<lookup::Message>,
     announce: Ring<announce::Message>,
     shift: Ring<shift::Message>,
+    claims: Ring<claims::Message>,
+    ledgers: Inbox<claims::Broadcast>,
     slots: Ring<slots::Message>,
     explain: Ring<explain::Message>,
     relay: Inbox<Dispatch>,
@@ -94,14 +104,22 @@
     let (lookup, lookup_end) = ring::bounded(capacity);
     let (announce, announce_end) = ring::bounded(capacity);
     let (shift, shift_end) = ring::bounded(capacity);
+    let (claims, claims_end) = ring::bounded(capacity);
+    let (ledgers, ledgers_end) = ring::awaited(capacity);
     let (slots, slots_end) = ring::bounded(capacity);
     let (explain, explain_end) = ring::bounded(capacity);
     let (relay, relay_end) = ring::awaited(capacity);
     let (forward, forward_end) = ring::awaited(capacity);
+    let wires = claims::Wires {
+        claims,
+        ledgers,
+        slots: slots.clone(),
+    };
     let rings = Rings {
         lookup,
         announce,
         shift,
+        claims: wires,
         slots,
         explain,
         out: slots::Out { relay, forward },
@@ -110,6 +128,8 @@
         lookup: lookup_end,
         announce: announce_end,
         shift: shift_end,
+        claims: claims_end,
+        ledgers: ledgers_end,
         slots: slots_end,
         explain: explain_end,
         relay: relay_end,
@@ -134,7 +154,9 @@
             &context, &settings, &rings, ends, tables, secret, &mut stops,
         )?;
         threads.push(follow(&context, &settings, &rings, secret, &mut stops)?);
-        let open = open(&context, &settings, &rings, tables_seen, secret)?;
+        let ledger = keep_ledger(&context, &settings, secret, &mut threads, &mut stops)?;
+        let module = methods(ledger.as_ref())?;
+        let open = open(&context, &settings, &rings, tables_seen, secret, module)?;
         let entry = Self {
             context,
             settings,
@@ -233,7 +255,22 @@
     let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
     let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
     let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
-    let shift = shift::spawn(ends.shift, slots());
+    let shift = shift::spawn(ends.shift, rings.claims.claims.clone());
+    let claims = claims::spawn(
+        context.clone(),
+        settings.claims.clone(),
+        ends.claims,
+        rings.claims.clone(),
+        stop(),
+    );
+    let send = claims::send::spawn(
+        context.clone(),
+        settings.claims.clone(),
+        secret.clone(),
+        ends.ledgers,
+        rings.claims.claims.clone(),
+        stop(),
+    );
     let placing = slots::spawn(
         context.clone(),
         settings.slots,
@@ -255,6 +292,8 @@
         named("lookup", lookup)?,
         named("announce", announce)?,
         named("shift", shift)?,
+        named("claims", claims)?,
+        named("claims-send", send)?,
         named("slots", placing)?,
         named("relay", relay)?,
         named("forward", forward)?,
@@ -287,6 +326,38 @@
     thread.context(ThreadSnafu { name: "spread" })
 }
 
+/// Starts the ledger on a VM that is in a group.
+fn keep_ledger(
+    context: &Context,
+    settings: &Settings,
+    secret: &Secret,
+    threads: &mut Vec<JoinHandle<()>>,
+    stops: &mut Vec<oneshot::Sender<()>>,
+) -> Result<Option<ring::Sender<ledger::Message>>, StartError> {
+    let Some(others) = settings.other_ledgers() else {
+        return Ok(None);
+    };
+    let (tx, rx) = ring::bounded(settings.ring);
+    let folder = settings.data_dir.as_ref();
+    let thread = ledger::spawn(context.clone(), settings.ledger, folder, rx);
+    threads.push(thread.context(ThreadSnafu { name: "ledger" })?);
+    let (stop, stopped) = oneshot::channel();
+    stops.push(stop);
+    let joining = tx.clone();
+    let thread = ledger::adopt::spawn(settings.ledger, others, secret.clone(), joining, stopped);
+    threads.push(thread.context(ThreadSnafu {
+        name: "ledger-join",
+    })?);
+    Ok(Some(tx))
+}
+
+/// The methods that other VMs call.
+fn methods(ledger: Option<&ring::Sender<ledger::Message>>) -> Result<RpcModule<()>, StartError> {
+    let mut module = RpcModule::new(());
+    ledger::register(&mut module, ledger)?;
+    Ok(module)
+}
+
 /// Opens the listeners.
 fn open(
     context: &Context,
@@ -294,6 +365,7 @@
     rings: &Rings,
     tables: watch::Receiver<Arc<lookup::Table>>,
     secret: &Secret,
+    module: RpcModule<()>,
 ) -> Result<Open, StartError> {
     let addresses = settings.listeners;
     let listen = |name, address, secret, make: Box<dyn FnOnce() -> Handler + Send>| {
@@ -305,15 +377,15 @@
         };
         edge::spawn(listener, context.clone(), make)
     };
+    let region = &context.topology.regions[usize::from(context.topology.region_of(context.zone).0)];
     let front = Front {
         context: context.clone(),
         ring: rings.shift.clone(),
         tables,
+        group: claims::home::own(&settings.claims.groups, region),
     };
     let (told, announce) = (context.clone(), rings.announce.clone());
     let (served, slots) = (context.clone(), rings.slots.clone());
-    // Duties add the methods that their like on other VMs call.
-    let module = RpcModule::new(());
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -47,6 +47,11 @@
     CONFIG_APPLIED = 1301 Info "Configuration applied", "None.";
     CONTROL_UNREACHABLE = 1302 Warn "No control VM could be reached", "Check control VMs and the network; traffic goes on with the last configuration.";
     RING_FULL = 1401 Warn "Ring between two duties was full", "The VM is overloaded; add entry VMs.";
+    LEDGER_BLANK = 2201 Warn "Ledger has no memory and does not vote yet", "None on a first start; else see `docs/claims.md`, lost disk.";
+    LEDGER_VOTES = 2202 Info "Ledger votes", "None.";
+    LEDGER_FAILED = 2203 Error "Ledger's disk failed, it takes no more orders", "Replace the disk, then restart the VM.";
+    LEDGER_DAMAGED = 2204 Error "Ledger's file was damaged and put aside", "Check the disk; see `docs/claims.md`, lost disk.";
+    LEDGER_FULL = 2205 Warn "Ledger is full and grants no new key", "Raise `ledger.keys` or `ledger.bytes`, or shorten `ledger.expiry_ms`.";
 }
 
 /// Writes an event to the log.
--- a/tests/scenario/world.rs
+++ b/tests/scenario/world.rs
@@ -27,6 +27,19 @@
     fleet: Fleet,
     vms: BTreeMap<String, Vm>,
     relays: BTreeMap<(String, String), Relay>,
+    ledgers: Vec<(String, SocketAddr)>,
+}
+
+/// The first three entry VMs are the ledgers, or the first one where there are fewer.
+fn ledgers(lines: &[Line]) -> Vec<(String, SocketAddr)> {
+    let names = lines.iter().filter_map(|line| match &line.statement {
+        Statement::Entry { name, .. } => Some(name.clone()),
+        _ => None,
+    });
+    let names: Vec<String> = names.collect();
+    let count = if names.len() < 3 { 1 } else { 3 };
+    let names = names.into_iter().take(count);
+    names.map(|name| (name, free_address())).collect()
 }
 
 impl World {
@@ -36,6 +49,7 @@
             fleet: Fleet::new(),
             vms: BTreeMap::new(),
             relays: BTreeMap::new(),
+            ledgers: ledgers(lines),
         };
         let counts = lines.iter().filter_map(|line| match line.statement {
             Statement::Control(count) => Some(count),
@@ -77,9 +91,19 @@
             .map(|control| self.way(name, control, "peers"))
             .collect();
         settings["spread"] = json!({ "control": control });
+        self.set_ledgers(name, &mut settings);
         self.add(name, ENTRY, settings);
     }
 
+    fn set_ledgers(&self, name: &str, settings: &mut Value) {
+        let addresses: Vec<SocketAddr> = self.ledgers.iter().map(|row| row.1).collect();
+        settings["claims"] = json!({"groups": [{"name": "derwent", "ledgers": addresses}]});
+        if let Some((_, peers)) = self.ledgers.iter().find(|row| row.0 == name) {
+            settings["listeners"]["peers"] = json!(peers);
+            settings["data_dir"] = json!(self.fleet.folder.path().join(format!("{name}-data")));
+        }
+    }
+
     fn add(&mut self, name: &str, binary: &'static str, settings: Value) {
         let process = Some(self.fleet.start(binary, &settings));
         let vm = Vm {
