Crash ledgers between vote and sync in the claims simulation

Replies sent before the sync went unseen by the simulation. It now crashes a ledger two milliseconds after an order at the rate of other crashes, gathers votes for 5 s and drops a quarter of the messages where disks are lost, so that old votes meet new ones.

--- a/src/claims/tests/sim.rs
+++ b/src/claims/tests/sim.rs
@@ -24,7 +24,7 @@
 const LEDGERS: usize = 3;
 const KEYS: usize = 40;
 const END_MS: u64 = 120_000;
-const CLAIM_MS: u64 = 1_000;
+const CLAIM_MS: u64 = 5_000;
 const STORE_MS: u64 = 500;
 const RUN_MS: u64 = 4_000;
 const JOIN_MS: u64 = 60;
@@ -57,8 +57,8 @@
     };
     /// Disks are lost just as votes are gathered slowly.
     pub const DISKS: Self = Self {
-        drop: 80,
-        crash: 10,
+        drop: 250,
+        crash: 30,
         cut: 0,
         wipe: 8,
         slow: 400,
@@ -94,6 +94,7 @@
     ToLedger(Source, usize, Phase, Order),
     ToEntry(Source, Heard),
     Synced(usize, u64),
+    Crash(usize),
     Run(Source, usize, Fingerprint),
     Ran(Source, Ending),
     Tick(usize),
@@ -226,6 +227,7 @@
             Event::ToLedger(from, ledger, phase, order) => self.order(from, ledger, phase, &order),
             Event::ToEntry(to, heard) => self.heard(to, &heard),
             Event::Synced(ledger, life) => self.synced(ledger, life),
+            Event::Crash(ledger) => self.restart(ledger),
             Event::Run(from, key, print) => self.start(from, key, print),
             Event::Ran(to, ending) => self.ran(to, ending),
             Event::Tick(entry) => self.tick(entry),
@@ -267,7 +269,8 @@
             };
         }
         if self.chance(self.faults.crash) {
-            self.restart();
+            let ledger = self.rng.random_range(0..LEDGERS);
+            self.restart(ledger);
         }
         if self.chance(self.faults.wipe) {
             self.wipe();
@@ -292,8 +295,7 @@
     }
 
     /// A crash keeps any part of what was not synced, perhaps with a broken byte.
-    fn restart(&mut self) {
-        let at = self.rng.random_range(0..LEDGERS);
+    fn restart(&mut self, at: usize) {
         let store = &mut self.stores[at];
         let mut tail = std::mem::take(&mut store.unsynced);
         tail.truncate(self.rng.random_range(0..=tail.len()));
@@ -349,6 +351,10 @@
         let life = store.life;
         let delay = self.rng.random_range(0..5);
         self.after(delay, Event::Synced(ledger, life));
+        if self.chance(self.faults.crash) {
+            // Often before the sync, and as soon as replies could be out.
+            self.after(2, Event::Crash(ledger));
+        }
     }
 
     fn synced(&mut self, ledger: usize, life: u64) {
