--- a/src/claims/send.rs
+++ b/src/claims/send.rs
@@ -180,7 +180,9 @@
         let packed = Packed::new(&orders);
         let client = self.client.as_ref()?;
         let answer: Packed = client.call(APPLY, &packed).await.ok()?;
+        let bytes = packed.data.len() + answer.data.len();
         self.context.metrics.count("claim_calls", 1);
+        self.context.metrics.count("claim_bytes", bytes as u64);
         let replies: Vec<Reply> = answer.open()?;
         (replies.len() == batch.len()).then_some(replies)
     }
