--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -7,6 +7,7 @@
         callers::{self, Front},
         claims,
         context::Context,
+        drain,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
         explain, forward, ledger, lookup,
         observe::{Event, report},
@@ -87,6 +88,7 @@
     ledgers: Inbox<claims::Broadcast>,
     slots: Ring<slots::Message>,
     explain: Ring<explain::Message>,
+    drain: Ring<drain::Message>,
     relay: Inbox<Dispatch>,
     forward: Inbox<forward::Message>,
 }
@@ -108,6 +110,7 @@
     let (ledgers, ledgers_end) = ring::awaited(capacity);
     let (slots, slots_end) = ring::bounded(capacity);
     let (explain, explain_end) = ring::bounded(capacity);
+    let (drain, drain_end) = ring::bounded(capacity);
     let (relay, relay_end) = ring::awaited(capacity);
     let (forward, forward_end) = ring::awaited(capacity);
     let wires = claims::Wires {
@@ -122,7 +125,11 @@
         claims: wires,
         slots,
         explain,
-        out: slots::Out { relay, forward },
+        out: slots::Out {
+            relay,
+            forward,
+            drain,
+        },
     };
     let ends = Ends {
         lookup: lookup_end,
@@ -132,6 +139,7 @@
         ledgers: ledgers_end,
         slots: slots_end,
         explain: explain_end,
+        drain: drain_end,
         relay: relay_end,
         forward: forward_end,
     };
@@ -194,6 +202,7 @@
         report(Event::STOPPING, format_args!("entry {vm}"));
         // The duty may have ended already, then nothing names this VM any more.
         let _ = self.rings.lookup.send(lookup::Message::Stopping);
+        let _ = self.rings.announce.send(announce::Message::Stopping);
         thread::sleep(Duration::from_millis(self.settings.linger_ms));
         self.context.stop();
         self.await_work();
@@ -286,8 +295,10 @@
         slots(),
         stop(),
     );
+    let drain = drain::spawn(context.clone(), ends.drain);
     let explain = explain::spawn(settings.explain, ends.explain);
     Ok(vec![
+        named("drain", drain)?,
         named("explain", explain)?,
         named("lookup", lookup)?,
         named("announce", announce)?,
@@ -311,6 +322,7 @@
     let (stop, stopped) = oneshot::channel();
     stops.push(stop);
     let subscribers = Subscribers {
+        announce: rings.announce.clone(),
         lookup: rings.lookup.clone(),
         shift: rings.shift.clone(),
         slots: rings.slots.clone(),
@@ -358,6 +370,25 @@
     Ok(module)
 }
 
+/// Reads how many messages wait in each ring.
+fn depths(rings: &Rings) -> admin::Depths {
+    let rings = rings.clone();
+    admin::Depths::new(move || {
+        vec![
+            ("ring_announce", rings.announce.depth()),
+            ("ring_claims", rings.claims.claims.depth()),
+            ("ring_claims_send", rings.claims.ledgers.depth()),
+            ("ring_drain", rings.out.drain.depth()),
+            ("ring_explain", rings.explain.depth()),
+            ("ring_forward", rings.out.forward.depth()),
+            ("ring_lookup", rings.lookup.depth()),
+            ("ring_relay", rings.out.relay.depth()),
+            ("ring_shift", rings.shift.depth()),
+            ("ring_slots", rings.slots.depth()),
+        ]
+    })
+}
+
 /// Opens the listeners.
 fn open(
     context: &Context,
@@ -389,6 +420,8 @@
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
+        drain: Some(rings.out.drain.clone()),
+        depths: depths(rings),
     };
     let callers = Box::new(move || callers::handler(front));
     let upstreams = Box::new(move || announce::handler(&told, announce));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 // Shared vocabulary.
 pub mod call;
+pub mod cancel;
 pub mod clock;
 pub mod context;
 pub mod keys;
@@ -19,6 +20,7 @@
 pub mod announce;
 pub mod callers;
 pub mod claims;
+pub mod drain;
 pub mod forward;
 pub mod ledger;
 pub mod lookup;
