Refuse requests that crash upstreams, in the whole zone after two

The relay tells the poison duty of each connection that is cut after a request was written, and asks it before each attempt. Requests that ran on a lost upstream are charged; two losses within ten minutes refuse a request. Charges go to the zone's peers at once. An answer clears a request, so that innocents in flight beside the bad one are not refused for long.

The idempotency key is not part of the fingerprint: under one key a request never runs again anyway, and with a new key the same request would go on through all upstreams.

Lapsed leases and new incarnations are not yet taken as signs of a loss.

--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -1,11 +1,12 @@
 //! Serves the metrics and the slots of this process.
 
 use {
-    super::explain,
+    super::{explain, poisoned},
     crate::{
         context::Context,
         drain::{self, Progress},
         edge::{Handler, Incoming, Outgoing},
+        poison,
         ring::Sender,
         slots::{self, Status},
     },
@@ -25,6 +26,8 @@
     pub slots: Option<Sender<slots::Message>>,
     /// Progress of drains, on an entry VM.
     pub drain: Option<Sender<drain::Message>>,
+    /// Requests that crash upstreams, on an entry VM.
+    pub poison: Option<Sender<poison::Message>>,
     /// Messages that wait in each ring.
     pub depths: Depths,
 }
@@ -79,6 +82,10 @@
         match incoming.path() {
             b"/metrics" => self.metrics(),
             b"/status" => self.status().await,
+            b"/poison" if incoming.method == "GET" => poisoned::list(self.poison.as_ref()).await,
+            b"/poison/lift" if incoming.method == "POST" => {
+                poisoned::lift(self.poison.as_ref(), incoming)
+            }
             path if path.starts_with(EXPLAIN) => {
                 explain::serve(&self.context, &path[EXPLAIN.len()..]).await
             }
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -3,5 +3,6 @@
 
 mod explain;
 mod handler;
+mod poisoned;
 
 pub use handler::{Board, Depths, handler};
--- /dev/null
+++ b/src/admin/poisoned.rs
@@ -0,0 +1,64 @@
+//! Requests that crash upstreams: `GET /poison` lists them, `POST /poison/lift` ends a refusal.
+
+use {
+    crate::{
+        edge::{Incoming, Outgoing},
+        ledger::Fingerprint,
+        poison::{Lift, Listed, Message},
+        ring::Sender,
+    },
+    serde_json::{Value, json},
+    tokio::sync::oneshot,
+};
+
+/// Every charged request.
+pub(super) async fn list(poison: Option<&Sender<Message>>) -> Outgoing {
+    let (tx, rx) = oneshot::channel();
+    let reply = Box::new(move |rows| drop(tx.send(rows)));
+    let sent = poison.is_some_and(|ring| ring.offer(Message::Read(reply)).is_ok());
+    let rows: Vec<Listed> = match rx.await {
+        Ok(rows) if sent => rows,
+        _ => return Outgoing::refusal(503, "unavailable"),
+    };
+    let rows: Vec<Value> = rows.iter().map(row).collect();
+    Outgoing::new(
+        200,
+        "application/json",
+        json!({"requests": rows}).to_string(),
+    )
+}
+
+/// Lifts the request whose print is the body, or all if the body is empty.
+pub(super) fn lift(poison: Option<&Sender<Message>>, incoming: &Incoming) -> Outgoing {
+    let Some(lift) = read(&incoming.body) else {
+        return Outgoing::refusal(400, "expected a print of 32 hexadecimal digits, or nothing");
+    };
+    let spread = true;
+    let message = Message::Lift { lift, spread };
+    if poison.is_some_and(|ring| ring.offer(message).is_ok()) {
+        return Outgoing::new(200, "application/json", "{}");
+    }
+    Outgoing::refusal(503, "unavailable")
+}
+
+fn read(body: &[u8]) -> Option<Lift> {
+    let text = std::str::from_utf8(body).ok()?.trim();
+    if text.is_empty() {
+        return Some(Lift { print: None });
+    }
+    let digits = text.len() == 32 && text.bytes().all(|digit| digit.is_ascii_hexdigit());
+    let (high, low) = text.split_at_checked(16).filter(|_| digits)?;
+    let high = u64::from_str_radix(high, 16).ok()?;
+    let low = u64::from_str_radix(low, 16).ok()?;
+    let print = Some(Fingerprint(high, low));
+    Some(Lift { print })
+}
+
+fn row(listed: &Listed) -> Value {
+    json!({
+        "print": format!("{:016x}{:016x}", listed.print.0, listed.print.1),
+        "upstreams": listed.upstreams,
+        "poisoned": listed.poisoned,
+        "left_ms": listed.left_ms,
+    })
+}
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -105,6 +105,7 @@
             context: context.clone(),
             slots: None,
             drain: None,
+            poison: None,
             depths: admin::Depths::default(),
         };
         let admin = listen(
--- /dev/null
+++ b/src/entry/guards.rs
@@ -0,0 +1,48 @@
+//! Starts what guards requests across VMs: the ledger, and the methods that peers call.
+
+use {
+    super::{
+        settings::Settings,
+        wiring::{StartError, ThreadSnafu},
+    },
+    crate::{context::Context, edge::Secret, ledger, poison, ring},
+    jsonrpsee::RpcModule,
+    snafu::ResultExt,
+    std::thread::JoinHandle,
+    tokio::sync::oneshot,
+};
+
+/// Starts the ledger on a VM that is in a group.
+pub(super) fn keep_ledger(
+    context: &Context,
+    settings: &Settings,
+    secret: &Secret,
+    threads: &mut Vec<JoinHandle<()>>,
+    stops: &mut Vec<oneshot::Sender<()>>,
+) -> Result<Option<ring::Sender<ledger::Message>>, StartError> {
+    let Some(others) = settings.other_ledgers() else {
+        return Ok(None);
+    };
+    let (tx, rx) = ring::bounded(settings.ring);
+    let folder = settings.data_dir.as_ref();
+    let thread = ledger::spawn(context.clone(), settings.ledger, folder, rx);
+    threads.push(thread.context(ThreadSnafu { name: "ledger" })?);
+    let (stop, stopped) = oneshot::channel();
+    stops.push(stop);
+    let joining = tx.clone();
+    let thread = ledger::adopt::spawn(settings.ledger, others, secret.clone(), joining, stopped);
+    let name = "ledger-join";
+    threads.push(thread.context(ThreadSnafu { name })?);
+    Ok(Some(tx))
+}
+
+/// The methods that other VMs call.
+pub(super) fn methods(
+    ledger: Option<&ring::Sender<ledger::Message>>,
+    poison: &ring::Sender<poison::Message>,
+) -> Result<RpcModule<()>, StartError> {
+    let mut module = RpcModule::new(());
+    ledger::register(&mut module, ledger)?;
+    poison::register(&mut module, poison)?;
+    Ok(module)
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! An entry VM: its duties, the rings between them and its listeners.
 
+mod guards;
 pub mod settings;
 mod wiring;
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -6,7 +6,7 @@
         edge::Limits,
         explain, forward,
         keys::ZoneKey,
-        ledger, lookup, relay,
+        ledger, lookup, poison, relay,
         settings::{section::Section, topology::Topology},
         slots, spread,
     },
@@ -94,6 +94,8 @@
     pub claims: claims::Settings,
     /// Durable votes on idempotency keys.
     pub ledger: ledger::Settings,
+    /// Requests that crash upstreams.
+    pub poison: poison::Settings,
     /// Configuration.
     pub spread: spread::Settings,
 }
@@ -127,6 +129,7 @@
             explain: section.section("explain", explain::Settings::read),
             claims: section.section("claims", claims::Settings::read),
             ledger: section.section("ledger", ledger::Settings::read),
+            poison: section.section("poison", poison::Settings::read),
             spread: section.section("spread", spread::Settings::read),
         };
         if settings.data_dir.is_empty() && settings.other_ledgers().is_some() {
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -1,7 +1,7 @@
 //! Starts the threads of an entry VM, joins them by rings, and ends them in order.
 
 use {
-    super::settings::Settings,
+    super::{guards, settings::Settings},
     crate::{
         admin, announce,
         callers::{self, Front},
@@ -9,9 +9,9 @@
         context::Context,
         drain,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
-        explain, forward, ledger, lookup,
+        explain, forward, lookup,
         observe::{Event, report},
-        peers,
+        peers, poison,
         relay::{self, Dispatch},
         ring::{self, Inbox, Ring},
         shift, slots,
@@ -47,7 +47,7 @@
         source: RegisterMethodError,
     },
     /// A thread could not start.
-    #[snafu(display("thread {name}: {source}"))]
+    #[snafu(display("thread {name}: {source}"), visibility(pub(super)))]
     Thread {
         /// Name of the thread.
         name: &'static str,
@@ -73,6 +73,8 @@
     lookup: ring::Sender<lookup::Message>,
     announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
+    poison: ring::Sender<poison::Message>,
+    verdicts: watch::Receiver<Arc<poison::Verdicts>>,
     claims: claims::Wires,
     slots: ring::Sender<slots::Message>,
     explain: ring::Sender<explain::Message>,
@@ -85,6 +87,8 @@
     announce: Ring<announce::Message>,
     shift: Ring<shift::Message>,
     claims: Ring<claims::Message>,
+    poison: Ring<poison::Message>,
+    verdicts: watch::Sender<Arc<poison::Verdicts>>,
     ledgers: Inbox<claims::Broadcast>,
     slots: Ring<slots::Message>,
     explain: Ring<explain::Message>,
@@ -106,6 +110,8 @@
     let (lookup, lookup_end) = ring::bounded(capacity);
     let (announce, announce_end) = ring::bounded(capacity);
     let (shift, shift_end) = ring::bounded(capacity);
+    let (poison, poison_end) = ring::bounded(capacity);
+    let (verdicts_end, verdicts) = watch::channel(Arc::default());
     let (claims, claims_end) = ring::bounded(capacity);
     let (ledgers, ledgers_end) = ring::awaited(capacity);
     let (slots, slots_end) = ring::bounded(capacity);
@@ -122,6 +128,8 @@
         lookup,
         announce,
         shift,
+        poison,
+        verdicts,
         claims: wires,
         slots,
         explain,
@@ -136,6 +144,8 @@
         announce: announce_end,
         shift: shift_end,
         claims: claims_end,
+        poison: poison_end,
+        verdicts: verdicts_end,
         ledgers: ledgers_end,
         slots: slots_end,
         explain: explain_end,
@@ -162,8 +172,8 @@
             &context, &settings, &rings, ends, tables, secret, &mut stops,
         )?;
         threads.push(follow(&context, &settings, &rings, secret, &mut stops)?);
-        let ledger = keep_ledger(&context, &settings, secret, &mut threads, &mut stops)?;
-        let module = methods(ledger.as_ref())?;
+        let ledger = guards::keep_ledger(&context, &settings, secret, &mut threads, &mut stops)?;
+        let module = guards::methods(ledger.as_ref(), &rings.poison)?;
         let open = open(&context, &settings, &rings, tables_seen, secret, module)?;
         let entry = Self {
             context,
@@ -286,7 +296,21 @@
         ends.slots,
         rings.out.clone(),
     );
-    let relay = relay::spawn(context, settings.relay, ends.relay, slots(), stop());
+    let guard = poison::Guard {
+        topology: Arc::clone(&context.topology),
+        verdicts: rings.verdicts.clone(),
+        ring: rings.poison.clone(),
+    };
+    let relay = relay::spawn(context, settings.relay, ends.relay, slots(), guard, stop());
+    let poison = poison::spawn(
+        context.clone(),
+        settings.poison.clone(),
+        secret.clone(),
+        ends.poison,
+        ends.verdicts,
+        [stop(), stop()],
+    );
+    let [poison_send, poison] = poison.context(ThreadSnafu { name: "poison" })?;
     let forward = forward::spawn(
         context.clone(),
         settings.forward,
@@ -298,6 +322,8 @@
     let drain = drain::spawn(context.clone(), ends.drain);
     let explain = explain::spawn(settings.explain, ends.explain);
     Ok(vec![
+        poison_send,
+        poison,
         named("drain", drain)?,
         named("explain", explain)?,
         named("lookup", lookup)?,
@@ -338,38 +364,6 @@
     thread.context(ThreadSnafu { name: "spread" })
 }
 
-/// Starts the ledger on a VM that is in a group.
-fn keep_ledger(
-    context: &Context,
-    settings: &Settings,
-    secret: &Secret,
-    threads: &mut Vec<JoinHandle<()>>,
-    stops: &mut Vec<oneshot::Sender<()>>,
-) -> Result<Option<ring::Sender<ledger::Message>>, StartError> {
-    let Some(others) = settings.other_ledgers() else {
-        return Ok(None);
-    };
-    let (tx, rx) = ring::bounded(settings.ring);
-    let folder = settings.data_dir.as_ref();
-    let thread = ledger::spawn(context.clone(), settings.ledger, folder, rx);
-    threads.push(thread.context(ThreadSnafu { name: "ledger" })?);
-    let (stop, stopped) = oneshot::channel();
-    stops.push(stop);
-    let joining = tx.clone();
-    let thread = ledger::adopt::spawn(settings.ledger, others, secret.clone(), joining, stopped);
-    threads.push(thread.context(ThreadSnafu {
-        name: "ledger-join",
-    })?);
-    Ok(Some(tx))
-}
-
-/// The methods that other VMs call.
-fn methods(ledger: Option<&ring::Sender<ledger::Message>>) -> Result<RpcModule<()>, StartError> {
-    let mut module = RpcModule::new(());
-    ledger::register(&mut module, ledger)?;
-    Ok(module)
-}
-
 /// Reads how many messages wait in each ring.
 fn depths(rings: &Rings) -> admin::Depths {
     let rings = rings.clone();
@@ -382,6 +376,7 @@
             ("ring_explain", rings.explain.depth()),
             ("ring_forward", rings.out.forward.depth()),
             ("ring_lookup", rings.lookup.depth()),
+            ("ring_poison", rings.poison.depth()),
             ("ring_relay", rings.out.relay.depth()),
             ("ring_shift", rings.shift.depth()),
             ("ring_slots", rings.slots.depth()),
@@ -421,6 +416,7 @@
         context: context.clone(),
         slots: Some(rings.slots.clone()),
         drain: Some(rings.out.drain.clone()),
+        poison: Some(rings.poison.clone()),
         depths: depths(rings),
     };
     let callers = Box::new(move || callers::handler(front));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ledger;
 pub mod lookup;
 pub mod peers;
+pub mod poison;
 pub mod relay;
 pub mod shift;
 pub mod slots;
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -63,6 +63,9 @@
     LEDGER_FAILED = 2203 Error "Ledger's disk failed, it takes no more orders", "Replace the disk, then restart the VM.";
     LEDGER_DAMAGED = 2204 Error "Ledger's file was damaged and put aside", "Check the disk; see `docs/claims.md`, lost disk.";
     LEDGER_FULL = 2205 Warn "Ledger is full and grants no new key", "Raise `ledger.keys` or `ledger.bytes`, or shorten `ledger.expiry_ms`.";
+    UPSTREAM_LOST = 2211 Warn "Upstream's process was lost while it ran a request", "Check the upstream; `/poison` of the admin listener lists the request.";
+    POISONED = 2212 Error "Request is refused as it crashed upstreams", "See `docs/poison.md`; lift it once the upstreams are mended.";
+    POISON_LIFTED = 2213 Info "Charges for lost upstreams were lifted", "None.";
     DRAIN_BEGAN = 2301 Info "Drain began", "None.";
     DRAIN_DONE = 2302 Info "Drain complete: nothing in flight", "What was drained may be stopped once every VM says so.";
 }
--- /dev/null
+++ b/src/poison/mod.rs
@@ -0,0 +1,20 @@
+//! Refuses requests that crash the upstreams which run them, in the whole availability zone.
+
+pub mod decide;
+mod guard;
+pub mod messages;
+mod send;
+pub mod serve;
+pub mod settings;
+pub mod state;
+#[cfg(test)]
+mod tests;
+mod thread;
+
+pub use {
+    guard::{Guard, Verdicts},
+    messages::{Charge, Lift, Listed, Message},
+    serve::register,
+    settings::Settings,
+    thread::spawn,
+};
--- /dev/null
+++ b/src/poison/serve.rs
@@ -0,0 +1,39 @@
+//! The poison duty's methods on the peer listener.
+
+use {
+    super::messages::{Charge, Lift, Message},
+    crate::{edge::rpc, ring::Sender},
+    jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
+};
+
+/// Charges a request with a lost upstream.
+pub(super) const CHARGE: &str = "poison.charge";
+/// Lifts charges.
+pub(super) const LIFT: &str = "poison.lift";
+
+/// Adds the methods to a peer listener's module.
+///
+/// # Errors
+/// A method is there already.
+pub fn register<C: Send + Sync + 'static>(
+    module: &mut RpcModule<C>,
+    poison: &Sender<Message>,
+) -> Result<(), RegisterMethodError> {
+    let ring = poison.clone();
+    module.register_method(CHARGE, move |params, _, _| {
+        let charge: Charge = rpc::params(&params)?;
+        offer(&ring, Message::Charged(charge))
+    })?;
+    let ring = poison.clone();
+    module.register_method(LIFT, move |params, _, _| {
+        let lift: Lift = rpc::params(&params)?;
+        let spread = false;
+        offer(&ring, Message::Lift { lift, spread })
+    })?;
+    Ok(())
+}
+
+fn offer(ring: &Sender<Message>, message: Message) -> Result<(), ErrorObjectOwned> {
+    let full = |_| rpc::error(rpc::UNAVAILABLE, "the poison duty takes no news", ());
+    ring.offer(message).map_err(full)
+}
--- /dev/null
+++ b/src/poison/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of the poison duty.
+
+use {crate::settings::section::Section, std::net::SocketAddr};
+
+/// Settings of the poison duty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Lost upstreams after which a request is refused.
+    pub losses: usize,
+    /// Milliseconds after which charges are forgotten.
+    pub ttl_ms: u64,
+    /// Milliseconds within which two cut connections of an upstream mean that its process is lost.
+    pub burst_ms: u64,
+    /// Milliseconds for which a cut connection may turn out to be a lost process.
+    pub watch_ms: u64,
+    /// Requests charged at most; the oldest is forgotten first.
+    pub charges: usize,
+    /// Peer listeners of the other entry VMs of this availability zone.
+    pub peers: Vec<SocketAddr>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            losses: 2,
+            ttl_ms: 600_000,
+            burst_ms: 250,
+            watch_ms: 2_000,
+            charges: 1_024,
+            peers: Vec::new(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads the section `poison`.
+    pub fn read(section: &mut Section<'_>) -> Self {
+        let base = Self::default();
+        Self {
+            losses: section.size("losses", base.losses, 1..=100),
+            ttl_ms: section.number("ttl_ms", base.ttl_ms, 1_000..=86_400_000),
+            burst_ms: section.number("burst_ms", base.burst_ms, 1..=60_000),
+            watch_ms: section.number("watch_ms", base.watch_ms, 1..=60_000),
+            charges: section.size("charges", base.charges, 1..=100_000),
+            peers: section.addresses("peers"),
+        }
+    }
+}
--- /dev/null
+++ b/src/poison/tests.rs
@@ -0,0 +1,122 @@
+//! Tests of the charges, with a seeded walk of a poison request among innocent ones.
+
+use {
+    super::{
+        decide::{charge, cut, expire, lift, list, lost},
+        messages::{Charge, Lift},
+        settings::Settings,
+        state::State,
+    },
+    crate::{clock::Micros, ledger::Fingerprint},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::net::SocketAddr,
+};
+
+const BAD: Fingerprint = Fingerprint(9, 9);
+
+fn upstream(at: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], at))
+}
+
+fn ms(ms: u64) -> Micros {
+    Micros::from_millis(ms)
+}
+
+fn is_poisoned(state: &State, print: Fingerprint) -> bool {
+    let rows = list(state, &Settings::default(), Micros(0));
+    rows.iter().any(|row| row.print == print && row.poisoned)
+}
+
+#[test]
+fn single_cuts_charge_nobody_however_many() {
+    let (mut state, settings) = (State::default(), Settings::default());
+    for at in 0..20 {
+        let now = ms(u64::from(at) * (settings.burst_ms + 1));
+        assert!(cut(&mut state, &settings, BAD, upstream(1), now).is_empty());
+        assert!(cut(&mut state, &settings, BAD, upstream(100 + at), now).is_empty());
+    }
+    assert!(state.charges.is_empty());
+}
+
+#[test]
+fn a_refused_connection_after_a_cut_charges_what_ran_there() {
+    let (mut state, settings) = (State::default(), Settings::default());
+    let _ = cut(&mut state, &settings, BAD, upstream(1), ms(0));
+    assert!(lost(&mut state, &settings, upstream(2), ms(1)).is_empty());
+    assert_eq!(lost(&mut state, &settings, upstream(1), ms(1)).len(), 1);
+    let _ = cut(&mut state, &settings, BAD, upstream(2), ms(9));
+    expire(&mut state, &settings, ms(10 + settings.watch_ms));
+    assert!(lost(&mut state, &settings, upstream(2), ms(9_999)).is_empty());
+    assert!(!is_poisoned(&state, BAD));
+}
+
+#[test]
+fn one_loss_told_by_two_vms_counts_once() {
+    let (mut state, settings) = (State::default(), Settings::default());
+    let told = Charge {
+        print: BAD,
+        upstream: upstream(1),
+    };
+    assert!(charge(&mut state, &settings, told, ms(0)));
+    assert!(!charge(&mut state, &settings, told, ms(1_000)));
+    assert!(!is_poisoned(&state, BAD));
+    // The same upstream, restarted and lost again.
+    assert!(charge(&mut state, &settings, told, ms(5_000)));
+    assert!(is_poisoned(&state, BAD));
+    assert!(lift(&mut state, Lift { print: Some(BAD) }));
+    assert!(!is_poisoned(&state, BAD));
+}
+
+#[test]
+fn charges_end_and_stay_bounded() {
+    let settings = Settings {
+        charges: 4,
+        ..Settings::default()
+    };
+    let mut state = State::default();
+    for at in 0..9 {
+        let told = Charge {
+            print: Fingerprint(at, 0),
+            upstream: upstream(1),
+        };
+        charge(&mut state, &settings, told, ms(at));
+    }
+    assert_eq!(state.charges.len(), 4);
+    expire(&mut state, &settings, ms(settings.ttl_ms + 9));
+    assert!(state.charges.is_empty());
+}
+
+/// Twelve upstreams, two entry VMs that tell each other at once, nine requests in flight on each
+/// upstream: the poison request loses two upstreams at most, and no innocent stays refused.
+#[test]
+fn a_poison_request_loses_two_upstreams_of_a_zone_and_innocents_are_cleared() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let settings = Settings::default();
+        let mut entries = [State::default(), State::default()];
+        let (mut losses, mut now) = (0, ms(0));
+        for _ in 0..40 {
+            now = now.plus_millis(rng.random_range(2_500..9_000));
+            let at = rng.random_range(0..2);
+            let target = upstream(rng.random_range(0..12));
+            if !is_poisoned(&entries[at], BAD) {
+                losses += 1;
+                let innocent = Fingerprint(rng.random_range(0..5), 0);
+                let mut charges = cut(&mut entries[at], &settings, BAD, target, now);
+                charges.extend(cut(&mut entries[at], &settings, innocent, target, now));
+                for told in charges {
+                    charge(&mut entries[1 - at], &settings, told, now);
+                }
+            }
+            for innocent in 0..5 {
+                // It is answered by the next upstream that runs it.
+                for state in &mut entries {
+                    let print = Some(Fingerprint(innocent, 0));
+                    lift(state, Lift { print });
+                }
+            }
+        }
+        assert_eq!(losses, 2, "seed {seed}");
+        assert_eq!(entries[0].charges.len(), 1, "seed {seed}");
+    }
+}
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -8,6 +8,7 @@
         clock::Micros,
         context::Context,
         keys::{FlightKey, KindKey, RequestId, ServiceKey, ZoneKey},
+        poison,
         ring::{self, Outbox, Ring, Wait},
         slots,
     },
@@ -22,7 +23,7 @@
         thread,
         time::Duration,
     },
-    tokio::sync::oneshot,
+    tokio::sync::{oneshot, watch},
 };
 
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -50,7 +51,12 @@
         let (relay, inbox) = ring::awaited(64);
         let (slots, done) = ring::bounded(64);
         let (stop, stopped) = oneshot::channel();
-        spawn(&context, settings, inbox, slots, stopped).unwrap();
+        let guard = poison::Guard {
+            topology: Arc::default(),
+            verdicts: watch::channel(Arc::default()).1,
+            ring: ring::bounded(64).0,
+        };
+        spawn(&context, settings, inbox, slots, guard, stopped).unwrap();
         Self {
             context,
             relay,
--- a/src/relay/thread.rs
+++ b/src/relay/thread.rs
@@ -10,6 +10,7 @@
     },
     crate::{
         context::Context,
+        poison::Guard,
         ring::{self, Inbox},
         slots,
     },
@@ -31,6 +32,7 @@
     settings: Settings,
     inbox: Inbox<Dispatch>,
     slots: ring::Sender<slots::Message>,
+    guard: Guard,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -47,7 +49,7 @@
         };
         local.block_on(&runtime, async {
             tokio::select! {
-                () = run(tools, inbox, slots) => {}
+                () = run(tools, inbox, slots, guard) => {}
                 _ = stop => {}
             }
         });
@@ -57,13 +59,18 @@
         .spawn(run)
 }
 
-async fn run(tools: Tools, mut inbox: Inbox<Dispatch>, slots: ring::Sender<slots::Message>) {
+async fn run(
+    tools: Tools,
+    mut inbox: Inbox<Dispatch>,
+    slots: ring::Sender<slots::Message>,
+    guard: Guard,
+) {
     let keep = Duration::from_millis(tools.settings.idle_ms);
     let mut evict = time::interval(EVICT_INTERVAL);
     loop {
         tokio::select! {
             dispatch = inbox.recv() => match dispatch {
-                Some(dispatch) => start(&tools, dispatch, &slots),
+                Some(dispatch) => start(&tools, dispatch, &slots, &guard),
                 None => return,
             },
             _ = evict.tick() => {
@@ -74,8 +81,8 @@
     }
 }
 
-fn start(tools: &Tools, dispatch: Dispatch, slots: &ring::Sender<slots::Message>) {
-    let (tools, slots) = (tools.clone(), slots.clone());
+fn start(tools: &Tools, dispatch: Dispatch, slots: &ring::Sender<slots::Message>, guard: &Guard) {
+    let (tools, slots, guard) = (tools.clone(), slots.clone(), guard.clone());
     tokio::task::spawn_local(async move {
         let Dispatch {
             flight,
@@ -89,7 +96,11 @@
             holder,
             until,
         };
-        let result = attempt::run(&tools, &target, &mut call).await;
+        let result = match guard.refuse(&call) {
+            Some(failure) => Err(failure),
+            None => attempt::run(&tools, &target, &mut call).await,
+        };
+        guard.note(&call, address, &result);
         // Waits for room: the slot must be freed. The slots duty never waits for this one.
         let _ = slots.send(slots::Message::Done {
             flight,
--- a/tests/scenario/fake.rs
+++ b/tests/scenario/fake.rs
@@ -30,6 +30,8 @@
     None,
     /// Loses its process on a request with this key: every connection is cut.
     CrashOn(String),
+    /// Ends on a request with this key: its connection is cut, and new ones are refused.
+    DieOn(String),
     /// Runs requests and never answers on connections open by now.
     Silent,
     /// Answers after this many milliseconds.
@@ -182,6 +184,13 @@
             continue;
         };
         begin(inner, &key);
+        if fault == Fault::DieOn(key.clone()) {
+            inner.seen.lock().unwrap().crashes += 1;
+            inner.ended.store(true, Ordering::SeqCst);
+            // Wakes the listener, which then closes.
+            drop(TcpStream::connect(stream.local_addr()?));
+            return Ok(());
+        }
         if fault == Fault::CrashOn(key.clone()) {
             let mut seen = inner.seen.lock().unwrap();
             seen.running -= 1;
