Carry out shifts under caps and granted headroom

A shift's share is a credit: each request seen earns it, each moved one spends a whole, and it is bounded at two requests. So moved <= cap * seen holds after every single request on every entry VM, hence in the sum, cut off or not; a restart or a changed shift begins at zero, and a shift that waited does not catch up in a burst. Weighed against two plain counters (moved, seen): these hold the cap too, but after an hour without headroom they let the whole traffic move until they have caught up.

An absolute rate is divided by the number of entry VMs in `rate_vms` and spaced evenly, the first request a second after the limit began, so that no window of a second holds more, restarts and changes included. Weighed against leases from control: those use the whole rate, but need a round trip to control and give nothing to a zone that is cut off. Zero (the default) moves nothing. A rate below the number of VMs moves nothing either.

A move needs headroom granted by the target: each unit is good for one request and lapses, at the source before at the target. The target keeps a reserve, never owes more than is free, and counts an arrived request until the slot counts show it. A refused request comes back through `forward` and is served at home; it stays counted as moved, and is seen once.

Not proved yet: the way between processes, until peers are known.

--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -5,6 +5,7 @@
         context::Context,
         edge::{Handler, Incoming, Outgoing},
         ring::Sender,
+        shift,
         slots::{self, Status},
     },
     serde_json::{Value, json},
@@ -19,6 +20,8 @@
     pub context: Context,
     /// Slot counts, on an entry VM.
     pub slots: Option<Sender<slots::Message>>,
+    /// Shifts as they are carried out, on an entry VM.
+    pub shift: Option<Sender<shift::Message>>,
 }
 
 /// Serves `/metrics` and `/status`.
@@ -49,6 +52,7 @@
             "stopping": self.context.stopping(),
             "inflight": self.context.inflight(),
             "upstreams": rows,
+            "shifts": self.shifts().await,
         });
         Outgoing::new(200, "application/json", body.to_string())
     }
@@ -65,6 +69,18 @@
         rx.await.unwrap_or_default()
     }
 
+    async fn shifts(&self) -> Vec<shift::Status> {
+        let Some(shift) = &self.shift else {
+            return Vec::new();
+        };
+        let (tx, rx) = oneshot::channel();
+        let reply = Box::new(move |rows| drop(tx.send(rows)));
+        if shift.offer(shift::Message::Read(reply)).is_err() {
+            return Vec::new();
+        }
+        rx.await.unwrap_or_default()
+    }
+
     fn row(&self, row: &Status) -> Value {
         json!({
             "name": row.name,
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -86,6 +86,7 @@
         let board = admin::Board {
             context: context.clone(),
             slots: None,
+            shift: None,
         };
         let admin = listen(
             "admin",
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -8,7 +8,7 @@
         keys::ZoneKey,
         lookup, relay,
         settings::{section::Section, topology::Topology},
-        slots, spread,
+        shift, slots, spread,
     },
     std::net::SocketAddr,
 };
@@ -80,6 +80,8 @@
     pub lookup: lookup::Settings,
     /// Announcements.
     pub announce: announce::Settings,
+    /// Shifts.
+    pub shift: shift::Settings,
     /// Slots.
     pub slots: slots::Settings,
     /// Relay.
@@ -112,6 +114,7 @@
             stop_ms: section.number("stop_ms", 30_000, 1..=3_600_000),
             lookup: section.section("lookup", lookup::Settings::read),
             announce: section.section("announce", announce::Settings::read),
+            shift: section.section("shift", shift::Settings::read),
             slots: section.section("slots", slots::Settings::read),
             relay: section.section("relay", relay::Settings::read),
             forward: section.section("forward", forward::Settings::read),
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -15,7 +15,7 @@
         shift, slots,
         spread::{self, Subscribers},
     },
-    jsonrpsee::RpcModule,
+    jsonrpsee::{RpcModule, core::RegisterMethodError},
     snafu::{ResultExt, Snafu},
     std::{
         io,
@@ -38,6 +38,12 @@
         /// Which and why.
         source: ListenError,
     },
+    /// Two duties register a method of the same name.
+    #[snafu(display("{source}"), context(false))]
+    Method {
+        /// Which.
+        source: RegisterMethodError,
+    },
     /// A thread could not start.
     #[snafu(display("thread {name}: {source}"))]
     Thread {
@@ -67,6 +73,7 @@
     shift: ring::Sender<shift::Message>,
     slots: ring::Sender<slots::Message>,
     out: slots::Out,
+    peers: watch::Sender<Arc<Vec<forward::Peer>>>,
 }
 
 /// The receiving end of each duty's ring.
@@ -101,6 +108,7 @@
         shift,
         slots,
         out: slots::Out { relay, forward },
+        peers: watch::channel(Arc::default()).0,
     };
     let ends = Ends {
         lookup: lookup_end,
@@ -225,7 +233,18 @@
     let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
     let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
     let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
-    let shift = shift::spawn(ends.shift, slots());
+    let shift = shift::spawn(context.clone(), settings.shift, ends.shift, slots());
+    let sources = shift::Sources {
+        shift: rings.shift.clone(),
+        peers: rings.peers.subscribe(),
+    };
+    let headroom = shift::ask(
+        context.clone(),
+        settings.shift,
+        secret.clone(),
+        sources,
+        stop(),
+    );
     let placing = slots::spawn(
         context.clone(),
         settings.slots,
@@ -245,6 +264,7 @@
         named("lookup", lookup)?,
         named("announce", announce)?,
         named("shift", shift)?,
+        named("headroom", headroom)?,
         named("slots", placing)?,
         named("relay", relay)?,
         named("forward", forward)?,
@@ -302,15 +322,24 @@
     };
     let (told, announce) = (context.clone(), rings.announce.clone());
     let (served, slots) = (context.clone(), rings.slots.clone());
+    let arrivals = rings.shift.clone();
     // Duties add the methods that their like on other VMs call.
-    let module = RpcModule::new(());
+    let mut module = RpcModule::new(());
+    shift::register(
+        &mut module,
+        context.clone(),
+        settings.shift,
+        rings.shift.clone(),
+        rings.slots.clone(),
+    )?;
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
+        shift: Some(rings.shift.clone()),
     };
     let callers = Box::new(move || callers::handler(front));
     let upstreams = Box::new(move || announce::handler(&told, announce));
-    let peers = Box::new(move || peers::handler(served, module, slots));
+    let peers = Box::new(move || peers::handler(served, module, slots, arrivals));
     let admin = Box::new(move || admin::handler(board));
     Ok(Open {
         callers: listen("callers", addresses.callers, None, callers)?,
--- a/src/forward/receive.rs
+++ b/src/forward/receive.rs
@@ -8,7 +8,7 @@
         edge::Outgoing,
         keys::RequestId,
         ring::{Rejected, Sender},
-        slots,
+        shift, slots,
     },
     std::sync::atomic::{AtomicU64, Ordering},
     tokio::sync::oneshot,
@@ -18,12 +18,17 @@
 static NEXT: AtomicU64 = AtomicU64::new(1 << 63);
 
 /// Runs a forwarded request here and answers with its outcome.
-pub async fn receive(context: &Context, slots: &Sender<slots::Message>, body: &[u8]) -> Outgoing {
+pub async fn receive(
+    context: &Context,
+    slots: &Sender<slots::Message>,
+    shift: &Sender<shift::Message>,
+    body: &[u8],
+) -> Outgoing {
     let Ok(forwarded) = postcard::from_bytes::<Forwarded>(body) else {
         return Outgoing::refusal(400, "malformed");
     };
     let _guard = context.enter();
-    let outcome = run(context, slots, forwarded).await;
+    let outcome = run(context, slots, shift, forwarded).await;
     context.metrics.count("forwarded_in", 1);
     match encode::outcome(&outcome) {
         Ok(bytes) => Outgoing::new(200, "application/octet-stream", bytes),
@@ -32,13 +37,23 @@
     }
 }
 
-async fn run(context: &Context, slots: &Sender<slots::Message>, forwarded: Forwarded) -> Outcome {
+async fn run(
+    context: &Context,
+    slots: &Sender<slots::Message>,
+    shift: &Sender<shift::Message>,
+    forwarded: Forwarded,
+) -> Outcome {
     if context.stopping() {
         return Err(Refusal::not_run(Reason::Stopping));
     }
     let id = RequestId(NEXT.fetch_add(1, Ordering::Relaxed));
     let meta = encode::meta(context, id, context.clock.now(), &forwarded);
     let meta = meta.ok_or(Refusal::not_run(Reason::UnknownKind))?;
+    if meta.origin != context.zone {
+        let (service, zone) = (meta.service, meta.origin);
+        // Unnoted, its headroom stays taken until the lease ends.
+        let _ = shift.offer(shift::Message::Arrived { service, zone });
+    }
     let (tx, rx) = oneshot::channel();
     let reply = Box::new(move |outcome| drop(tx.send(outcome)));
     let call = Call::new(meta, forwarded.key, forwarded.payload, reply);
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -38,6 +38,8 @@
     pub struct UpstreamKey;
     /// An attempt in flight, with a generation.
     pub struct FlightKey;
+    /// A shift's row in an arena, with a generation.
+    pub struct ShiftKey;
     /// A claim's row in an arena, with a generation.
     pub struct ClaimKey;
 }
--- a/src/peers/handler.rs
+++ b/src/peers/handler.rs
@@ -6,7 +6,7 @@
         edge::{Handler, Outgoing, rpc},
         forward,
         ring::Sender,
-        slots,
+        shift, slots,
     },
     jsonrpsee::RpcModule,
     std::rc::Rc,
@@ -15,14 +15,22 @@
 /// Serves the peers of this VM. Forwarded requests go to `slots`: their way was decided where
 /// they entered the system.
 #[must_use]
-pub fn handler(context: Context, module: RpcModule<()>, slots: Sender<slots::Message>) -> Handler {
+pub fn handler(
+    context: Context,
+    module: RpcModule<()>,
+    slots: Sender<slots::Message>,
+    shift: Sender<shift::Message>,
+) -> Handler {
     let methods = rpc::handler(module);
     let context = Rc::new(context);
     Rc::new(move |incoming| match incoming.path() {
         b"/rpc" => methods(incoming),
         b"/forward" => {
             let (context, slots) = (Rc::clone(&context), slots.clone());
-            Box::pin(async move { forward::receive(&context, &slots, &incoming.body).await })
+            let shift = shift.clone();
+            Box::pin(
+                async move { forward::receive(&context, &slots, &shift, &incoming.body).await },
+            )
         }
         _ => Box::pin(async { Outgoing::refusal(404, "unknown_path") }),
     })
--- a/src/shift/mod.rs
+++ b/src/shift/mod.rs
@@ -1,6 +1,23 @@
 //! Which availability zone serves a request, under the caps of the shifts in force.
+//!
+//! A request moves only under a shift's amount, its cap, every cap on the target, and headroom
+//! that the target granted.
 
+mod ask;
+mod decide;
+mod grant;
+mod limit;
 pub mod messages;
+pub mod settings;
+pub mod state;
+#[cfg(test)]
+mod tests;
 mod thread;
 
-pub use {messages::Message, thread::spawn};
+pub use {
+    ask::{Sources, ask, register},
+    grant::Ask,
+    messages::{Message, Status, Wanted},
+    settings::Settings,
+    thread::spawn,
+};
--- a/src/shift/thread.rs
+++ b/src/shift/thread.rs
@@ -1,9 +1,15 @@
 //! The thread of the shift duty.
 
 use {
-    super::messages::Message,
+    super::{
+        decide, grant,
+        messages::{Message, Status},
+        settings::Settings,
+        state::{Row, State},
+    },
     crate::{
-        call::{Reason, Refusal},
+        call::{Call, Reason, Refusal},
+        context::Context,
         ring::{Rejected, Ring, Sender},
         slots,
     },
@@ -14,23 +20,93 @@
 ///
 /// # Errors
 /// The thread cannot start.
-pub fn spawn(ring: Ring<Message>, slots: Sender<slots::Message>) -> io::Result<JoinHandle<()>> {
+pub fn spawn(
+    context: Context,
+    settings: Settings,
+    ring: Ring<Message>,
+    slots: Sender<slots::Message>,
+) -> io::Result<JoinHandle<()>> {
+    let duty = Duty {
+        context,
+        settings,
+        slots,
+        state: State::default(),
+    };
     std::thread::Builder::new()
         .name("shift".to_owned())
-        .spawn(move || run(&ring, &slots))
+        .spawn(move || duty.run(&ring))
 }
 
-fn run(ring: &Ring<Message>, slots: &Sender<slots::Message>) {
-    while let Some(message) = ring.recv() {
+struct Duty {
+    context: Context,
+    settings: Settings,
+    slots: Sender<slots::Message>,
+    state: State,
+}
+
+impl Duty {
+    fn run(mut self, ring: &Ring<Message>) {
+        while let Some(message) = ring.recv() {
+            self.handle(message);
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        let now = self.context.clock.now();
         match message {
-            Message::Route(call) => {
-                if let Err(Rejected::Full(slots::Message::Place(call))) =
-                    slots.offer(slots::Message::Place(call))
-                {
-                    call.finish(Err(Refusal::not_run(Reason::RingFull)));
-                }
+            Message::Route(call) => self.route(call),
+            Message::Policy(policy) => {
+                let topology = &self.context.topology;
+                decide::apply(&mut self.state, &policy, topology, self.settings, now);
+            }
+            Message::Hold(held) => decide::hold(&mut self.state, held, now),
+            Message::Grant(ask, reply) => {
+                reply(grant::grant(&mut self.state, ask, self.settings, now));
+            }
+            Message::Arrived { service, zone } => {
+                grant::arrive(&mut self.state, service, zone, now);
+            }
+            Message::Wanted(reply) => {
+                reply(decide::wanted(&mut self.state, self.context.zone, now));
             }
-            Message::Policy(_) => {}
+            Message::Read(reply) => reply(self.statuses()),
+        }
+    }
+
+    /// Sends the request on; `slots` hands one for another zone to `forward`, and serves here one
+    /// that comes back not run.
+    fn route(&mut self, mut call: Call) {
+        let now = self.context.clock.now();
+        let entered_here = call.meta.hops == 0 && call.meta.target == self.context.zone;
+        if entered_here
+            && let Some(chosen) = decide::route(&mut self.state, &call.meta, self.settings, now)
+        {
+            call.meta.target = chosen.zone;
+            self.context.metrics.count("requests_moved", 1);
+        }
+        if let Err(Rejected::Full(slots::Message::Place(call))) =
+            self.slots.offer(slots::Message::Place(call))
+        {
+            call.finish(Err(Refusal::not_run(Reason::RingFull)));
+        }
+    }
+
+    fn statuses(&self) -> Vec<Status> {
+        let keys = self.state.names.rows().iter().map(|(_, key)| *key);
+        let rows = keys.filter_map(|key| self.state.rows.get(key));
+        rows.map(|row| self.status(row)).collect()
+    }
+
+    fn status(&self, row: &Row) -> Status {
+        let now = self.context.clock.now();
+        let zones = row.to.iter();
+        let headroom = zones.map(|zone| decide::headroom(&self.state, row.service, *zone, now));
+        Status {
+            name: row.said.name.clone(),
+            seen: row.seen,
+            moved: row.moved,
+            headroom: headroom.sum(),
+            wait: row.wait,
         }
     }
 }
