Add an open-loop load and experiment tool

`siskinstep load` sends at random gaps around stated rates, whatever the answers do, and measures from the intended time: a pacing thread sleeps until each request is due and offers it over a ring to a thread with a single-threaded runtime. The runtime's own timers were ruled out for pacing: they tick in milliseconds, which is more than a relay hop takes. Targets come from look-up answers, or, bypassing the entry VMs, from round robin and least reported load over the same upstreams in the same run. The report gives latencies, refusals by reason, and means weighted by worth.

--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -86,6 +86,25 @@
         /// Prints the catalogue of log events.
         cmd events {
         }
+        /// Sends requests at stated times and reports latencies and refusals by kind.
+        cmd load {
+            /// Plan as JSON; the flags below then only add to it.
+            optional --plan file: PathBuf
+            /// Entry VM, IP:PORT of its caller listener; may be given several times.
+            repeated --entry address: SocketAddr
+            /// Upstream for steerings without an entry VM; may be given several times.
+            repeated --upstream address: SocketAddr
+            /// Who picks targets: siskinstep (default), round_robin, least_load; several run in turn.
+            repeated --steering name: String
+            /// What to send: PATH=RATE or PATH=RATE=WORTH, a rate a second.
+            repeated --kind kind: String
+            /// Seconds for each steering (default: 10).
+            optional --seconds count: u64
+            /// Threads that send (default: 1).
+            optional --threads count: usize
+            /// Requests in flight at most for each thread (default: 64).
+            optional --connections count: usize
+        }
         /// Runs control, entry and a sample upstream on loopback, and sends a request through them.
         cmd dev {
             /// End after the request.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The operator's command line.
 
 mod flags;
+mod load;
 mod order;
 mod render;
 mod run;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -3,13 +3,14 @@
 use {
     super::{
         flags::{Siskinstep, SiskinstepCmd},
-        order,
+        load, order,
         render::{self, Format},
     },
     crate::{
         control, dev,
         edge::Secret,
         entry,
+        load::{LoadError, Report},
         observe::events,
         operator::{Operator, OperatorError},
         policy::{Cap, Change, Command, Shift},
@@ -43,6 +44,10 @@
     Settings { source: settings::SettingsError },
     #[snafu(display("{source}"), context(false))]
     Dev { source: dev::DevError },
+    #[snafu(display("{source}"), context(false))]
+    Load { source: LoadError },
+    #[snafu(display("{source}"), context(false))]
+    Plan { source: load::PlanError },
     #[snafu(display("runtime: {source}"))]
     Runtime { source: std::io::Error },
     #[snafu(display("{flag}: expected {expected}"))]
@@ -101,6 +106,11 @@
             print!("{}", events::table());
             Ok(())
         }
+        SiskinstepCmd::Load(verb) => {
+            let report = load::run(&load::plan(&verb)?)?;
+            render::print(session.format, &report, Report::text);
+            Ok(())
+        }
         SiskinstepCmd::Dev(verb) => Ok(dev::run(verb.once)?),
     }
 }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -23,3 +23,15 @@
     assert!(place("tamar").is_err());
     assert!(drain("host/x").is_err());
 }
+
+#[test]
+fn kinds_of_a_load_are_read() {
+    let kind = super::load::kind("/swapdesk/book=20=40").unwrap();
+    assert_eq!(
+        (kind.path.as_str(), kind.rate, kind.worth),
+        ("/swapdesk/book", 20, 40)
+    );
+    for wrong in ["/swapdesk/book", "/a/b=x", "/a/b=1=-1"] {
+        assert!(super::load::kind(wrong).is_err(), "{wrong}");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,3 +39,4 @@
 pub mod daemon;
 pub mod dev;
 pub mod entry;
+pub mod load;
