--- /dev/null
+++ b/benches/fakes/mod.rs
@@ -0,0 +1,164 @@
+//! Small fakes for experiments: upstreams with slots and service times, and an entry VM.
+
+#![allow(dead_code)] // Each experiment uses a part of it.
+
+use {
+    siskinstep::{
+        announce::Body,
+        clock,
+        context::Context,
+        dev::sample::announce,
+        edge::{self, Handler, Limits, Listener, Outgoing, Running, Secret},
+        entry::{self, Entry},
+        keys::{ServiceKey, ZoneKey},
+        settings::topology::{Kind, Topology},
+    },
+    std::{
+        cell::Cell,
+        net::SocketAddr,
+        rc::Rc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+    tokio::{sync::Semaphore, time},
+};
+
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How a fake upstream behaves.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    pub name: String,
+    pub service: &'static str,
+    pub slots: u16,
+    pub service_ms: u64,
+    /// Extra milliseconds a request until this many have been served.
+    pub cold: (u64, u64),
+    /// Milliseconds added to each answer, as a far zone adds them.
+    pub away_ms: u64,
+    /// Load that it reports, whatever is true.
+    pub lies: Option<u32>,
+}
+
+/// A fake upstream that runs until it is dropped.
+pub struct Fake {
+    pub address: SocketAddr,
+    pub served: Arc<AtomicU64>,
+    _running: Running,
+    alive: Arc<AtomicBool>,
+}
+
+impl Drop for Fake {
+    fn drop(&mut self) {
+        self.alive.store(false, Ordering::SeqCst);
+    }
+}
+
+impl Fake {
+    /// Starts it, and announces it to `entries` until it is dropped.
+    pub fn start(behaviour: Behaviour, entries: &[SocketAddr]) -> Self {
+        let served = Arc::new(AtomicU64::new(0));
+        let listener = Listener {
+            name: "fake",
+            address: "127.0.0.1:0".parse().unwrap(),
+            limits: Limits::default(),
+            secret: None,
+        };
+        let context = Context::new(&behaviour.name, ZoneKey(0), Arc::default());
+        let (kept, count) = (behaviour.clone(), Arc::clone(&served));
+        let running = edge::spawn(listener, context, move || handler(kept, count)).unwrap();
+        let alive = Arc::new(AtomicBool::new(true));
+        let body = Body {
+            name: behaviour.name,
+            service: behaviour.service.to_owned(),
+            address: running.address,
+            slots: behaviour.slots,
+            incarnation: clock::wall_millis(),
+            load: None,
+            leaving: false,
+        };
+        for entry in entries {
+            let (entry, body, alive) = (*entry, body.clone(), Arc::clone(&alive));
+            announce(entry, &body).unwrap();
+            thread::spawn(move || {
+                while alive.load(Ordering::SeqCst) {
+                    let _ = announce(entry, &body);
+                    thread::sleep(ANNOUNCE_INTERVAL);
+                }
+            });
+        }
+        Self {
+            address: running.address,
+            served,
+            _running: running,
+            alive,
+        }
+    }
+}
+
+fn handler(behaviour: Behaviour, served: Arc<AtomicU64>) -> Handler {
+    let slots = Rc::new(Semaphore::new(usize::from(behaviour.slots)));
+    let waiting = Rc::new(Cell::new(0_u32));
+    let behaviour = Rc::new(behaviour);
+    Rc::new(move |incoming| {
+        let (slots, waiting) = (Rc::clone(&slots), Rc::clone(&waiting));
+        let (behaviour, served) = (Rc::clone(&behaviour), Arc::clone(&served));
+        Box::pin(async move {
+            if incoming.path() == b"/load" {
+                let load = behaviour.lies.unwrap_or(waiting.get());
+                let body = format!("{{\"load\":{load}}}");
+                return Outgoing::new(200, "application/json", body);
+            }
+            waiting.set(waiting.get() + 1);
+            pause(behaviour.away_ms).await;
+            let permit = slots.acquire().await;
+            let (extra, until) = behaviour.cold;
+            let is_cold = served.fetch_add(1, Ordering::SeqCst) < until;
+            pause(behaviour.service_ms + if is_cold { extra } else { 0 }).await;
+            drop(permit);
+            pause(behaviour.away_ms).await;
+            waiting.set(waiting.get() - 1);
+            Outgoing::new(200, "text/plain", "done")
+        })
+    })
+}
+
+async fn pause(ms: u64) {
+    if ms > 0 {
+        time::sleep(Duration::from_millis(ms)).await;
+    }
+}
+
+/// One region with one zone, and the services given, each with the kind `ask`.
+pub fn topology(services: &[&str], deadline_ms: u64) -> Topology {
+    let mut topology = Topology::default();
+    topology.add_region("derwent".to_owned(), vec!["derwent-a".to_owned()]);
+    for service in services {
+        let kind = Kind {
+            name: "ask".to_owned(),
+            service: ServiceKey(0),
+            worth: 10,
+            deadline_ms,
+            once: false,
+        };
+        topology.add_service((*service).to_owned(), vec![kind]);
+    }
+    topology
+}
+
+/// An entry VM in this process.
+pub fn entry(topology: Topology) -> Entry {
+    let settings = entry::Settings {
+        vm: "entry-1".to_owned(),
+        topology,
+        ring: 4_096,
+        stop_ms: 2_000,
+        linger_ms: 0,
+        ..entry::Settings::default()
+    };
+    Entry::start(settings, &Secret::new("experiment-secret-0123")).unwrap()
+}
--- /dev/null
+++ b/benches/hop.rs
@@ -0,0 +1,73 @@
+//! One relay hop against a direct call to the same upstream, in the same run; and look-ups.
+
+mod fakes;
+
+use {
+    fakes::{Behaviour, Fake, entry, topology},
+    siskinstep::load::{self, Kind, Plan, Steering},
+    std::net::SocketAddr,
+};
+
+const SECONDS: u64 = 5;
+
+fn number(name: &str, default: u32) -> u32 {
+    let given = std::env::var(name).ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn plan(entries: Vec<SocketAddr>, upstreams: Vec<SocketAddr>, path: &str, rate: u32) -> Plan {
+    let kind = Kind {
+        path: path.to_owned(),
+        rate,
+        worth: 10,
+        deadline_ms: 2_000,
+        once: false,
+    };
+    let direct = if upstreams.is_empty() {
+        vec![]
+    } else {
+        vec![Steering::RoundRobin]
+    };
+    let relayed = vec![Steering::Siskinstep];
+    Plan {
+        entries,
+        upstreams,
+        // Direct before and after, to see what the machine does by itself.
+        steerings: [direct.clone(), relayed, direct].concat(),
+        seconds: SECONDS,
+        threads: 1,
+        connections: 256,
+        poll_ms: 500,
+        seed: 1,
+        kinds: vec![kind],
+    }
+}
+
+fn main() {
+    let entry = entry(topology(&["fast", "slow"], 2_000));
+    let rate = number("RATE", 1_000);
+    for (service, service_ms) in [("fast", 0), ("slow", 5)] {
+        let behaviour = Behaviour {
+            name: service.to_owned(),
+            service,
+            slots: 200,
+            service_ms,
+            cold: (0, 0),
+            away_ms: 0,
+            lies: None,
+        };
+        let fake = Fake::start(behaviour, &[entry.upstreams()]);
+        let path = format!("/{service}/ask");
+        let plan = plan(vec![entry.callers()], vec![fake.address], &path, rate);
+        println!("{service} ({service_ms} ms), {rate}/s");
+        print!("{}", load::run(&plan).unwrap().text());
+    }
+    for rate in [5_000, 20_000, 40_000] {
+        let mut plan = plan(vec![entry.callers()], vec![], "/v1/lookup", rate);
+        plan.threads = 2;
+        plan.connections = 64;
+        println!("look-ups, {rate}/s");
+        print!("{}", load::run(&plan).unwrap().text());
+    }
+    entry.stop();
+}
