--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -59,8 +59,7 @@
     };
     let mut ports = |steering| {
         targets.steering = steering;
-        let chosen = [0, 1, 3, 7].map(|draw| choose(&mut targets, draw).unwrap().port());
-        chosen
+        [0, 1, 3, 7].map(|draw| choose(&mut targets, draw).unwrap().port())
     };
     assert_eq!(ports(Steering::Siskinstep), [1, 2, 2, 2]);
     assert_eq!(ports(Steering::RoundRobin), [5, 6, 4, 5]);
