--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -9,7 +9,6 @@
         explain::Step,
         keys::RequestId,
         lookup::Table,
-        ring::{Rejected, Sender},
         shift,
     },
     bytes::Bytes,
@@ -27,7 +26,7 @@
     /// Who we are.
     pub context: Context,
     /// Where requests go.
-    pub ring: Sender<shift::Message>,
+    pub router: shift::Router,
     /// Rankings of the look-up duty.
     pub tables: watch::Receiver<Arc<Table>>,
 }
@@ -97,11 +96,7 @@
         let (tx, rx) = oneshot::channel();
         let reply = Box::new(move |outcome| drop(tx.send(outcome)));
         let call = Call::new(decoded.meta, decoded.key, decoded.payload, reply);
-        if let Err(Rejected::Full(shift::Message::Route(call))) =
-            self.front.ring.offer(shift::Message::Route(call))
-        {
-            call.finish(Err(Refusal::not_run(Reason::RingFull)));
-        }
+        self.front.router.route(call);
         rx.await.unwrap_or(Err(Refusal::unknown(Reason::Stopping)))
     }
 }
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -75,6 +75,7 @@
     explain: ring::Sender<explain::Message>,
     out: slots::Out,
     peers: watch::Sender<Arc<Vec<forward::Peer>>>,
+    shifted: watch::Sender<shift::Shifted>,
 }
 
 /// The receiving end of each duty's ring.
@@ -113,6 +114,7 @@
         explain,
         out: slots::Out { relay, forward },
         peers: watch::channel(Arc::default()).0,
+        shifted: watch::channel(Arc::default()).0,
     };
     let ends = Ends {
         lookup: lookup_end,
@@ -241,7 +243,13 @@
     let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
     let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
     let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
-    let shift = shift::spawn(context.clone(), settings.shift, ends.shift, slots());
+    let shift = shift::spawn(
+        context.clone(),
+        settings.shift,
+        ends.shift,
+        slots(),
+        rings.shifted.clone(),
+    );
     let sources = shift::Sources {
         shift: rings.shift.clone(),
         peers: rings.peers.subscribe(),
@@ -325,9 +333,14 @@
         };
         edge::spawn(listener, context.clone(), make)
     };
+    let router = shift::Router {
+        shift: rings.shift.clone(),
+        slots: rings.slots.clone(),
+        shifted: rings.shifted.subscribe(),
+    };
     let front = Front {
         context: context.clone(),
-        ring: rings.shift.clone(),
+        router,
         tables,
     };
     let (told, announce) = (context.clone(), rings.announce.clone());
--- a/src/shift/decide.rs
+++ b/src/shift/decide.rs
@@ -283,6 +283,18 @@
         .collect()
 }
 
+/// The services of which requests leave the zone `home` under some shift, sorted.
+pub(super) fn shifted(state: &State, home: ZoneKey) -> Vec<ServiceKey> {
+    let leaving = state
+        .rows
+        .values()
+        .filter(|row| row.from.binary_search(&home).is_ok());
+    let mut services: Vec<ServiceKey> = leaving.map(|row| row.service).collect();
+    services.sort_unstable();
+    services.dedup();
+    services
+}
+
 /// Takes in granted headroom and forgets what has ended.
 pub(super) fn hold(state: &mut State, held: Held, now: Micros) {
     state.held.retain(|row| row.until > now && row.count > 0);
--- a/src/shift/mod.rs
+++ b/src/shift/mod.rs
@@ -8,6 +8,7 @@
 mod grant;
 mod limit;
 pub mod messages;
+mod router;
 pub mod settings;
 pub mod state;
 #[cfg(test)]
@@ -18,6 +19,7 @@
     ask::{Sources, ask, register},
     grant::Ask,
     messages::{Message, Status, Wanted},
+    router::{Router, Shifted},
     settings::Settings,
     thread::spawn,
 };
--- a/src/shift/thread.rs
+++ b/src/shift/thread.rs
@@ -4,19 +4,23 @@
     super::{
         decide, grant,
         messages::{Message, Status},
+        router::Shifted,
         settings::Settings,
         state::{Row, State},
     },
     crate::{
         call::{Call, Reason, Refusal},
         context::Context,
+        explain::Step,
         ring::{Rejected, Ring, Sender},
         slots,
     },
-    std::{io, thread::JoinHandle},
+    std::{io, sync::Arc, thread::JoinHandle},
+    tokio::sync::watch,
 };
 
-/// Starts the duty; requests go on to `slots`.
+/// Starts the duty; requests go on to `slots`, and the services that it wants to see out through
+/// `shifted`.
 ///
 /// # Errors
 /// The thread cannot start.
@@ -25,11 +29,13 @@
     settings: Settings,
     ring: Ring<Message>,
     slots: Sender<slots::Message>,
+    shifted: watch::Sender<Shifted>,
 ) -> io::Result<JoinHandle<()>> {
     let duty = Duty {
         context,
         settings,
         slots,
+        shifted,
         state: State::default(),
     };
     std::thread::Builder::new()
@@ -41,6 +47,7 @@
     context: Context,
     settings: Settings,
     slots: Sender<slots::Message>,
+    shifted: watch::Sender<Shifted>,
     state: State,
 }
 
@@ -58,6 +65,8 @@
             Message::Policy(policy) => {
                 let topology = &self.context.topology;
                 decide::apply(&mut self.state, &policy, topology, self.settings, now);
+                let shifted = decide::shifted(&self.state, self.context.zone);
+                self.shifted.send_replace(Arc::new(shifted));
             }
             Message::Hold(held) => decide::hold(&mut self.state, held, now),
             Message::Grant(ask, reply) => {
@@ -81,7 +90,9 @@
         if entered_here
             && let Some(chosen) = decide::route(&mut self.state, &call.meta, self.settings, now)
         {
-            call.meta.target = chosen.zone;
+            let target = chosen.zone;
+            call.meta.target = target;
+            self.context.note(call.meta.id, Step::Shifted { target });
             self.context.metrics.count("requests_moved", 1);
         }
         if let Err(Rejected::Full(slots::Message::Place(call))) =
