--- a/benches/fakes/mod.rs
+++ b/benches/fakes/mod.rs
@@ -27,7 +27,7 @@
     tokio::{sync::Semaphore, time},
 };
 
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
+const RETRY: Duration = Duration::from_millis(20);
 
 /// How a fake upstream behaves.
 #[derive(Clone, Debug)]
@@ -59,8 +59,8 @@
 }
 
 impl Fake {
-    /// Starts it, and announces it to `entries` until it is dropped.
-    pub fn start(behaviour: Behaviour, entries: &[SocketAddr]) -> Self {
+    /// Starts it, and announces it to its home, first to `entry`, until it is dropped.
+    pub fn start(behaviour: Behaviour, entry: Option<SocketAddr>) -> Self {
         let served = Arc::new(AtomicU64::new(0));
         let listener = Listener {
             name: "fake",
@@ -72,22 +72,25 @@
         let (kept, count) = (behaviour.clone(), Arc::clone(&served));
         let running = edge::spawn(listener, context, move || handler(kept, count)).unwrap();
         let alive = Arc::new(AtomicBool::new(true));
-        let body = Body {
+        let mut body = Body {
             name: behaviour.name,
             service: behaviour.service.to_owned(),
             address: running.address,
             slots: behaviour.slots,
             incarnation: clock::wall_millis(),
+            token: None,
+            inherited: Some(0),
             load: None,
             leaving: false,
         };
-        for entry in entries {
-            let (entry, body, alive) = (*entry, body.clone(), Arc::clone(&alive));
-            announce(entry, &body).unwrap();
+        if let Some(entry) = entry {
+            let mut home = entry;
+            while renew(&mut home, entry, &mut body).is_none() {}
+            let alive = Arc::clone(&alive);
             thread::spawn(move || {
                 while alive.load(Ordering::SeqCst) {
-                    let _ = announce(entry, &body);
-                    thread::sleep(ANNOUNCE_INTERVAL);
+                    let wait = renew(&mut home, entry, &mut body);
+                    thread::sleep(wait.unwrap_or(RETRY));
                 }
             });
         }
@@ -100,6 +103,19 @@
     }
 }
 
+/// Announces once; how long to wait, or `None` if the home gave no lease.
+fn renew(home: &mut SocketAddr, entry: SocketAddr, body: &mut Body) -> Option<Duration> {
+    let Ok(granted) = announce(*home, body) else {
+        *home = entry;
+        return None;
+    };
+    body.token = Some(granted.token);
+    *home = granted.home.unwrap_or(*home);
+    granted
+        .granted
+        .then(|| Duration::from_millis(granted.renew_ms))
+}
+
 fn handler(behaviour: Behaviour, served: Arc<AtomicU64>) -> Handler {
     let slots = Rc::new(Semaphore::new(usize::from(behaviour.slots)));
     let waiting = Rc::new(Cell::new(0_u32));
@@ -144,6 +160,7 @@
             worth: 10,
             deadline_ms,
             once: false,
+            repeatable: false,
         };
         topology.add_service((*service).to_owned(), vec![kind]);
     }
--- a/benches/hop.rs
+++ b/benches/hop.rs
@@ -56,7 +56,7 @@
             away_ms: 0,
             lies: None,
         };
-        let fake = Fake::start(behaviour, &[entry.upstreams()]);
+        let fake = Fake::start(behaviour, Some(entry.upstreams()));
         let path = format!("/{service}/ask");
         let plan = plan(vec![entry.callers()], vec![fake.address], &path, rate);
         println!("{service} ({service_ms} ms), {rate}/s");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 // Shared vocabulary.
 pub mod call;
+pub mod cancel;
 pub mod clock;
 pub mod context;
 pub mod keys;
@@ -18,6 +19,7 @@
 // Duties of an entry VM.
 pub mod announce;
 pub mod callers;
+pub mod drain;
 pub mod forward;
 pub mod lookup;
 pub mod peers;
@@ -30,6 +32,7 @@
 pub mod agree;
 pub mod operator;
 pub mod policy;
+pub mod storage;
 
 // Edges and what an operator sees.
 pub mod admin;
--- a/src/shift/ask.rs
+++ b/src/shift/ask.rs
@@ -233,7 +233,7 @@
             service,
             zone,
             want: question.want,
-            free: open.map(|row| row.limit.saturating_sub(row.taken)).sum(),
+            free: open.map(free).sum(),
         };
         let (tx, rx) = oneshot::channel();
         let reply = Box::new(move |count| {
@@ -244,3 +244,7 @@
         rx.await.ok()
     }
 }
+
+fn free(row: &slots::Status) -> u32 {
+    row.limit.saturating_sub(row.taken + row.inherited)
+}
