--- a/benches/fakes/mod.rs
+++ b/benches/fakes/mod.rs
@@ -27,6 +27,7 @@
     tokio::{sync::Semaphore, time},
 };
 
+const REGION_MS: u64 = 20;
 const RETRY: Duration = Duration::from_millis(20);
 
 /// How a fake upstream behaves.
@@ -38,8 +39,10 @@
     pub service_ms: u64,
     /// Extra milliseconds a request until this many have been served.
     pub cold: (u64, u64),
-    /// Milliseconds added to each answer, as a far zone adds them.
-    pub away_ms: u64,
+    /// Its zone: 2n and 2n + 1 make up region n. A caller's zone is the last part of the path.
+    pub zone: usize,
+    /// One-way milliseconds between two zones of a region.
+    pub zone_ms: u64,
     /// Load that it reports, whatever is true.
     pub lies: Option<u32>,
 }
@@ -48,6 +51,8 @@
 pub struct Fake {
     pub address: SocketAddr,
     pub served: Arc<AtomicU64>,
+    /// The most requests that it held above its slots.
+    pub excess: Arc<AtomicU64>,
     _running: Running,
     alive: Arc<AtomicBool>,
 }
@@ -62,6 +67,7 @@
     /// Starts it, and announces it to its home, first to `entry`, until it is dropped.
     pub fn start(behaviour: Behaviour, entry: Option<SocketAddr>) -> Self {
         let served = Arc::new(AtomicU64::new(0));
+        let excess = Arc::new(AtomicU64::new(0));
         let listener = Listener {
             name: "fake",
             address: "127.0.0.1:0".parse().unwrap(),
@@ -69,8 +75,8 @@
             secret: None,
         };
         let context = Context::new(&behaviour.name, ZoneKey(0), Arc::default());
-        let (kept, count) = (behaviour.clone(), Arc::clone(&served));
-        let running = edge::spawn(listener, context, move || handler(kept, count)).unwrap();
+        let (kept, count, peak) = (behaviour.clone(), Arc::clone(&served), Arc::clone(&excess));
+        let running = edge::spawn(listener, context, move || handler(kept, count, peak)).unwrap();
         let alive = Arc::new(AtomicBool::new(true));
         let mut body = Body {
             name: behaviour.name,
@@ -97,6 +103,7 @@
         Self {
             address: running.address,
             served,
+            excess,
             _running: running,
             alive,
         }
@@ -116,33 +123,61 @@
         .then(|| Duration::from_millis(granted.renew_ms))
 }
 
-fn handler(behaviour: Behaviour, served: Arc<AtomicU64>) -> Handler {
+fn handler(behaviour: Behaviour, served: Arc<AtomicU64>, excess: Arc<AtomicU64>) -> Handler {
     let slots = Rc::new(Semaphore::new(usize::from(behaviour.slots)));
     let waiting = Rc::new(Cell::new(0_u32));
     let behaviour = Rc::new(behaviour);
     Rc::new(move |incoming| {
         let (slots, waiting) = (Rc::clone(&slots), Rc::clone(&waiting));
         let (behaviour, served) = (Rc::clone(&behaviour), Arc::clone(&served));
+        let excess = Arc::clone(&excess);
         Box::pin(async move {
             if incoming.path() == b"/load" {
                 let load = behaviour.lies.unwrap_or(waiting.get());
                 let body = format!("{{\"load\":{load}}}");
                 return Outgoing::new(200, "application/json", body);
             }
+            let away = away(&behaviour, &incoming.target);
+            pause(away).await;
             waiting.set(waiting.get() + 1);
-            pause(behaviour.away_ms).await;
+            let above = waiting.get().saturating_sub(behaviour.slots.into());
+            excess.fetch_max(above.into(), Ordering::SeqCst);
             let permit = slots.acquire().await;
             let (extra, until) = behaviour.cold;
             let is_cold = served.fetch_add(1, Ordering::SeqCst) < until;
-            pause(behaviour.service_ms + if is_cold { extra } else { 0 }).await;
+            let extra = if is_cold { extra } else { 0 };
+            pause(varied(behaviour.service_ms) + extra).await;
             drop(permit);
-            pause(behaviour.away_ms).await;
             waiting.set(waiting.get() - 1);
+            pause(away).await;
             Outgoing::new(200, "text/plain", "done")
         })
     })
 }
 
+/// One-way milliseconds from the zone that the path names.
+fn away(behaviour: &Behaviour, target: &[u8]) -> u64 {
+    let text = std::str::from_utf8(target).unwrap_or_default();
+    let from = text
+        .rsplit('/')
+        .next()
+        .and_then(|zone| zone.parse::<usize>().ok());
+    match from {
+        Some(zone) if zone / 2 != behaviour.zone / 2 => REGION_MS,
+        Some(zone) if zone != behaviour.zone => behaviour.zone_ms,
+        _ => 0,
+    }
+}
+
+/// Between half and one and a half of `ms`.
+fn varied(ms: u64) -> u64 {
+    if ms < 10 {
+        ms
+    } else {
+        rand::random_range(ms / 2..ms * 3 / 2)
+    }
+}
+
 async fn pause(ms: u64) {
     if ms > 0 {
         time::sleep(Duration::from_millis(ms)).await;
--- a/benches/hop.rs
+++ b/benches/hop.rs
@@ -53,7 +53,8 @@
             slots: 200,
             service_ms,
             cold: (0, 0),
-            away_ms: 0,
+            zone: 0,
+            zone_ms: 0,
             lies: None,
         };
         let fake = Fake::start(behaviour, Some(entry.upstreams()));
