--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -116,6 +116,7 @@
         let board = admin::Board {
             context: context.clone(),
             slots: None,
+            shift: None,
             drain: None,
             poison: None,
             depths: admin::Depths::default(),
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -86,6 +86,8 @@
     membership: ring::Sender<membership::Message>,
     explain: ring::Sender<explain::Message>,
     pub out: slots::Out,
+    pub peers: watch::Sender<Arc<Vec<forward::Peer>>>,
+    shifted: watch::Sender<shift::Shifted>,
 }
 
 /// The receiving end of each duty's ring.
@@ -141,6 +143,8 @@
         slots,
         membership,
         explain,
+        peers: watch::channel(Arc::default()).0,
+        shifted: watch::channel(Arc::default()).0,
         out: slots::Out {
             relay,
             forward,
@@ -193,6 +197,13 @@
         let ledger = guards::keep_ledger(&context, &settings, secret, &mut threads, &mut stops)?;
         let mut module = guards::methods(ledger.as_ref(), &rings.poison)?;
         spread::register(&mut module, links.source.clone())?;
+        shift::register(
+            &mut module,
+            context.clone(),
+            settings.shift,
+            rings.shift.clone(),
+            rings.slots.clone(),
+        )?;
         let open = open(
             &context,
             &settings,
@@ -297,6 +308,15 @@
     }
 }
 
+/// The duties after the shift duty.
+fn onward(context: &Context, rings: &Rings) -> shift::Onward {
+    shift::Onward {
+        topology: Arc::clone(&context.topology),
+        claims: rings.claims.claims.clone(),
+        slots: rings.slots.clone(),
+    }
+}
+
 /// Starts the duties that only talk over rings and to upstreams or peers.
 fn duties(
     context: &Context,
@@ -316,7 +336,6 @@
     let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
     let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
     let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
-    let shift = shift::spawn(ends.shift, rings.claims.claims.clone());
     let claims = claims::spawn(
         context.clone(),
         settings.claims.clone(),
@@ -332,6 +351,24 @@
         rings.claims.claims.clone(),
         stop(),
     );
+    let shift = shift::spawn(
+        context.clone(),
+        settings.shift,
+        ends.shift,
+        onward(context, rings),
+        rings.shifted.clone(),
+    );
+    let sources = shift::Sources {
+        shift: rings.shift.clone(),
+        peers: rings.peers.subscribe(),
+    };
+    let headroom = shift::ask(
+        context.clone(),
+        settings.shift,
+        secret.clone(),
+        sources,
+        stop(),
+    );
     let placing = slots::spawn(
         context.clone(),
         settings.slots,
@@ -373,6 +410,7 @@
         named("shift", shift)?,
         named("claims", claims)?,
         named("claims-send", send)?,
+        named("headroom", headroom)?,
         named("slots", placing)?,
         named("relay", relay)?,
         named("forward", forward)?,
@@ -445,26 +483,33 @@
         edge::spawn(listener, context.clone(), make)
     };
     let region = &context.topology.regions[usize::from(context.topology.region_of(context.zone).0)];
+    let router = shift::Router {
+        shift: rings.shift.clone(),
+        onward: onward(context, rings),
+        shifted: rings.shifted.subscribe(),
+    };
     let front = Front {
         context: context.clone(),
         lease: links.lease.clone(),
-        ring: rings.shift.clone(),
+        router,
         tables,
         group: claims::home::own(&settings.claims.groups, region),
     };
     let (told, announce) = (context.clone(), rings.announce.clone());
     let (served, slots) = (context.clone(), rings.slots.clone());
     let lease = links.lease.clone();
+    let arrivals = rings.shift.clone();
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
+        shift: Some(rings.shift.clone()),
         drain: Some(rings.out.drain.clone()),
         poison: Some(rings.poison.clone()),
         depths: depths(rings),
     };
     let callers = Box::new(move || callers::handler(front));
     let upstreams = Box::new(move || announce::handler(&told, announce));
-    let peers = Box::new(move || peers::handler(served, lease, module, slots));
+    let peers = Box::new(move || peers::handler(served, lease, module, slots, arrivals));
     let admin = Box::new(move || admin::handler(board));
     Ok(Open {
         callers: listen("callers", addresses.callers, None, callers)?,
