--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 // Shared vocabulary.
 pub mod call;
+pub mod cancel;
 pub mod clock;
 pub mod context;
 pub mod keys;
@@ -18,6 +19,7 @@
 // Duties of an entry VM.
 pub mod announce;
 pub mod callers;
+pub mod drain;
 pub mod forward;
 pub mod lookup;
 pub mod peers;
