--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -154,7 +154,10 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Write(batch) => self.store(storage::Message::Write(batch)),
+            Effect::Write(batch) => {
+                self.context.metrics.count("log_writes", 1);
+                self.store(storage::Message::Write(batch));
+            }
             Effect::Send {
                 to,
                 exchange,
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -126,6 +126,12 @@
         })
     }
 
+    /// Context of the process, with its metrics.
+    #[must_use]
+    pub fn context(&self) -> &Context {
+        &self.context
+    }
+
     /// Address of the operators' listener.
     #[must_use]
     pub fn operators(&self) -> SocketAddr {
