--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -38,7 +38,8 @@
         | Reason::ClaimUnavailable
         | Reason::RetryBudget
         | Reason::PeerUnreachable
-        | Reason::Cancelled => 503,
+        | Reason::Cancelled
+        | Reason::NotJoined => 503,
     }
 }
 
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -50,6 +50,8 @@
     pub struct FlightKey;
     /// A request that waits for a slot, with a generation.
     pub struct WaitKey;
+    /// A member's row in an arena, with a generation.
+    pub struct MemberKey;
     /// A claim's row in an arena, with a generation.
     pub struct ClaimKey;
 }
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -124,6 +124,7 @@
         [
             "add_member",
             "check",
+            "fleet",
             "history",
             "members",
             "remove_member",
