Tell the spread duty when no news reach a replica; test a full disk

A replica that neither leads nor has heard a leader for two election time-outs answers no held question, so entry VMs go to another one. The published configuration keeps the latest receipts, from which differences are made. A control process under a file size limit refuses with the disk's reason and keeps everything accepted before.

--- a/benches/agree.rs
+++ b/benches/agree.rs
@@ -22,6 +22,7 @@
         time::{Duration, Instant},
     },
     tempfile::TempDir,
+    tokio::runtime::Runtime,
 };
 
 const REPLICAS: usize = 3;
@@ -207,6 +208,27 @@
         rest / (REPLICAS as u64 - 1),
         writes(&controls) - before,
     );
+    fail_over(controls, &members, &runtime, &secret);
+}
+
+/// Time from the end of the leader to the next accepted command.
+fn fail_over(mut controls: Vec<Control>, members: &[Listed], runtime: &Runtime, secret: &Secret) {
+    let client = runtime.block_on(leader(members, secret));
+    let nothing = serde_json::json!({});
+    let status = client.call::<serde_json::Value>("status", &nothing);
+    let name = runtime.block_on(status).unwrap()["vm"].clone();
+    let at = members.iter().position(|row| name == row.name.as_str());
+    let leaving = controls.remove(at.unwrap());
+    let stopping = thread::spawn(move || leaving.stop());
+    let begin = Instant::now();
+    stopping.join().unwrap();
+    let client = runtime.block_on(leader(members, secret));
+    let mut times = Histogram::new(3).unwrap();
+    runtime.block_on(submit(&client, command(9_999_999, 0), &mut times));
+    println!(
+        "a leader stops: {} ms until a command is answered",
+        begin.elapsed().as_millis()
+    );
     for control in controls {
         control.stop();
     }
--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -156,6 +156,11 @@
     beat.min(state.hello)
 }
 
+/// Whether this replica leads or has heard a leader lately, so that its configuration is not old.
+pub(super) fn is_fresh(state: &State, now: Micros) -> bool {
+    state.leads() || now < state.heard.plus_millis(2 * state.settings.election_ms)
+}
+
 fn submit(step: &mut Step<'_>, ticket: TicketKey, command: &Command) {
     if let Some(reason) = step.refusal() {
         let answer = Err(reason);
--- a/src/agree/join.rs
+++ b/src/agree/join.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        decide::{Effect, Note, Step},
+        decide::{self, Effect, Note, Step},
         state::{State, Welcomed},
         wire::{Body, Content, Envelope, Member, Members, Promise},
     },
@@ -20,11 +20,7 @@
     }
     let beat = step.state.settings.heartbeat_ms;
     // A member that was removed may not know it, and hears no leader.
-    let silence = step
-        .state
-        .heard
-        .plus_millis(2 * step.state.settings.election_ms);
-    let led = step.state.leads() || step.now < silence;
+    let led = decide::is_fresh(step.state, step.now);
     let settled = step.state.admitted && step.state.votes() && led;
     step.state.hello = step.after(if settled { 10 * beat } else { beat });
     if settled {
--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -22,6 +22,8 @@
     tokio::sync::watch,
 };
 
+/// Receipts that go out with a configuration, so that entry VMs can be sent only what is new.
+const PUBLISHED_RECEIPTS: usize = 256;
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
 /// What a replica starts from.
@@ -42,8 +44,10 @@
     pub storage: Sender<storage::Message>,
     /// Messages to other replicas.
     pub peers: Outbox,
-    /// Each new configuration.
+    /// Each new configuration, with the latest receipts.
     pub policies: watch::Sender<Arc<Policy>>,
+    /// Whether news reach this replica.
+    pub fresh: watch::Sender<bool>,
 }
 
 /// Starts the duty; [`Message::Stop`] ends it.
@@ -150,6 +154,12 @@
         for effect in decide::step(&mut self.state, input, now, rand::random()) {
             self.carry_out(effect);
         }
+        let fresh = decide::is_fresh(&self.state, now);
+        self.outlets.fresh.send_if_modified(|seen| {
+            let changed = *seen != fresh;
+            *seen = fresh;
+            changed
+        });
     }
 
     fn carry_out(&mut self, effect: Effect) {
@@ -233,7 +243,10 @@
     }
 
     fn publish(&self) {
-        let policy = self.state.machine.without_receipts();
+        let mut policy = self.state.machine.without_receipts();
+        let receipts = &self.state.machine.receipts;
+        let recent = receipts.len().saturating_sub(PUBLISHED_RECEIPTS);
+        policy.receipts.extend_from_slice(&receipts[recent..]);
         let version = policy.version;
         self.outlets.policies.send_replace(Arc::new(policy));
         let level = usize::try_from(version).unwrap_or(usize::MAX);
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -64,7 +64,6 @@
     ring: ring::Sender<agree::Message>,
     threads: Vec<JoinHandle<()>>,
     // News always reach a control VM; what they are is for the agree duty to say.
-    _fresh: watch::Sender<bool>,
 }
 
 impl Control {
@@ -77,10 +76,12 @@
         let context = Context::new(&settings.vm, settings.zone, topology);
         let (agree, agree_ring) = ring::bounded(settings.ring);
         let (policies, policies_seen) = watch::channel(Arc::default());
+        let (fresh_in, fresh) = watch::channel(true);
         let replica = Replica {
             ring: agree_ring,
             sender: agree.clone(),
             policies,
+            fresh: fresh_in,
         };
         let threads = start_replica(settings, &context, secret, replica)?;
         let listeners = settings.listeners;
@@ -98,7 +99,6 @@
         )?;
         let mut module = RpcModule::new(());
         agree::transport::register(&mut module, agree.clone())?;
-        let (fresh_in, fresh) = watch::channel(true);
         let source = Source {
             policies: policies_seen,
             fresh,
@@ -135,7 +135,6 @@
             admin,
             ring: agree,
             threads,
-            _fresh: fresh_in,
         })
     }
 
@@ -185,6 +184,7 @@
     ring: ring::Ring<agree::Message>,
     sender: ring::Sender<agree::Message>,
     policies: watch::Sender<Arc<Policy>>,
+    fresh: watch::Sender<bool>,
 }
 
 /// Starts the threads of the data folder, of the peers' messages and of the decisions.
@@ -218,6 +218,7 @@
         storage,
         peers,
         policies: replica.policies,
+        fresh: replica.fresh,
     };
     let decider = agree::spawn(context.clone(), setup, replica.ring, outlets);
     let decider = decider.context(ThreadSnafu { name: "agree" })?;
--- a/src/storage/tests.rs
+++ b/src/storage/tests.rs
@@ -244,3 +244,27 @@
         (DiskKey(10), 1)
     );
 }
+
+#[test]
+fn a_batch_that_failed_may_be_given_again() {
+    let parent = TempDir::new().unwrap();
+    let place = parent.path().join("data");
+    let (mut folder, _) = Folder::open(&place, DISK).unwrap();
+    folder.write(&entries(1, 1..=3)).unwrap();
+    let mut batch = snapshot(1, 2, false);
+    batch.entries = entries(1, 4..=5).entries;
+    let away = parent.path().join("away");
+    fs::rename(&place, &away).unwrap();
+    assert!(folder.write(&batch).is_err());
+    fs::rename(&away, &place).unwrap();
+    folder.write(&batch).unwrap();
+    folder.write(&batch).unwrap();
+    drop(folder);
+    let indexes: Vec<u64> = reopen(&place)
+        .unwrap()
+        .entries
+        .iter()
+        .map(|row| row.at.index)
+        .collect();
+    assert_eq!(indexes, [3, 4, 5]);
+}
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -15,6 +15,7 @@
     std::{
         fs,
         net::SocketAddr,
+        os::unix::fs::PermissionsExt,
         path::PathBuf,
         sync::{
             Arc,
@@ -342,3 +343,41 @@
         "{text}"
     );
 }
+
+/// A shell that bounds the size of files, then becomes the control VM.
+const BOUNDED: &str = "#!/bin/bash\ntrap '' XFSZ\nulimit -f 24\nexec \"$CONTROL\" \"$1\"\n";
+
+#[test]
+fn a_disk_that_takes_no_more_is_a_plain_refusal_and_loses_nothing() {
+    let fleet = Fleet::new();
+    let (peers, operators) = (free_address(), free_address());
+    let mut settings = fleet.settings("control-1", "derwent-a");
+    settings["listeners"] = json!({"operators": operators, "peers": peers});
+    settings["data_dir"] = json!(fleet.folder.path().join("data"));
+    let script = fleet.folder.path().join("bounded");
+    fs::write(&script, BOUNDED.replace("$CONTROL", CONTROL)).unwrap();
+    fs::set_permissions(&script, fs::Permissions::from_mode(0o755)).unwrap();
+
+    let process = fleet.start(script.to_str().unwrap(), &settings);
+    let (runtime, operator) = (
+        runtime(),
+        Operator::new(vec![operators], Secret::new(SECRET)),
+    );
+    let mut accepted = 0;
+    let refused = loop {
+        match runtime.block_on(operator.submit(&drain(&format!("c{accepted}"), accepted))) {
+            Ok(_) => accepted += 1,
+            Err(error) => break error.to_string(),
+        }
+        assert!(accepted < 10_000, "the bound has no effect");
+    };
+    assert!(accepted > 20, "{accepted}");
+    assert!(refused.contains("\"disk\""), "{refused}");
+    drop(process);
+
+    let _process = fleet.start(CONTROL, &settings);
+    for at in 0..accepted {
+        let answer = submit(&runtime, &operator, &drain(&format!("c{at}"), at));
+        assert_eq!(answer, Some(Accepted { version: at + 1 }));
+    }
+}
