--- a/src/announce/state.rs
+++ b/src/announce/state.rs
@@ -1,9 +1,10 @@
 //! The upstreams that hold a lease.
 
 use {
-    super::messages::Announcement,
-    crate::{clock::Micros, keys::UpstreamKey, sorted::Sorted},
+    super::messages::{Announcement, Home},
+    crate::{clock::Micros, keys::UpstreamKey, policy::Policy, sorted::Sorted},
     slotmap::SlotMap,
+    std::sync::Arc,
 };
 
 /// One upstream's lease.
@@ -13,6 +14,8 @@
     pub announcement: Announcement,
     /// When its lease lapses.
     pub lapses: Micros,
+    /// When it was last told of a better home, or joined.
+    pub hinted: Micros,
 }
 
 /// The upstreams that hold a lease.
@@ -22,6 +25,18 @@
     pub rows: SlotMap<UpstreamKey, Row>,
     /// Keys by name.
     pub names: Sorted<String, UpstreamKey>,
+    /// By name: tokens issued before this are of an earlier tenure.
+    pub fences: Sorted<String, Micros>,
+    /// Time of the last token that was issued.
+    pub issued: Micros,
+    /// Other VMs that can be a home.
+    pub homes: Vec<Home>,
+    /// Configuration in force.
+    pub policy: Arc<Policy>,
+    /// Whether this VM is drained and no home any more.
+    pub closed: bool,
+    /// Whether this VM is shutting down: it keeps its upstreams until they have moved.
+    pub stopping: bool,
 }
 
 impl State {
--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -26,7 +26,7 @@
         Reason::InProgress | Reason::MayHaveRun => 409,
         Reason::TooLarge => 413,
         Reason::KeyReused | Reason::Poisoned => 422,
-        Reason::AnswerCut | Reason::AnswerTooLarge => 502,
+        Reason::AnswerCut | Reason::AnswerTooLarge | Reason::AnswerMismatch => 502,
         Reason::DeadlineExceeded | Reason::AnswerTimeout => 504,
         Reason::RingFull
         | Reason::Stopping
@@ -38,6 +38,7 @@
         | Reason::ClaimUnavailable
         | Reason::RetryBudget
         | Reason::PeerUnreachable
+        | Reason::Cancelled
         | Reason::NotJoined => 503,
     }
 }
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -9,6 +9,7 @@
         admin, announce,
         callers::{self, Front},
         context::Context,
+        drain,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
         explain, forward, lookup,
         membership::{self, Lease},
@@ -89,6 +90,7 @@
     shift: Ring<shift::Message>,
     slots: Ring<slots::Message>,
     explain: Ring<explain::Message>,
+    drain: Ring<drain::Message>,
     relay: Inbox<Dispatch>,
     forward: Inbox<forward::Message>,
 }
@@ -108,6 +110,7 @@
     let (shift, shift_end) = ring::bounded(capacity);
     let (slots, slots_end) = ring::bounded(capacity);
     let (explain, explain_end) = ring::bounded(capacity);
+    let (drain, drain_end) = ring::bounded(capacity);
     let (relay, relay_end) = ring::awaited(capacity);
     let (forward, forward_end) = ring::awaited(capacity);
     let rings = Rings {
@@ -117,7 +120,11 @@
         slots,
         membership,
         explain,
-        out: slots::Out { relay, forward },
+        out: slots::Out {
+            relay,
+            forward,
+            drain,
+        },
     };
     let ends = Ends {
         lookup: lookup_end,
@@ -125,6 +132,7 @@
         shift: shift_end,
         slots: slots_end,
         explain: explain_end,
+        drain: drain_end,
         relay: relay_end,
         forward: forward_end,
     };
@@ -211,6 +219,7 @@
         report(Event::STOPPING, format_args!("entry {vm}"));
         // The duty may have ended already, then nothing names this VM any more.
         let _ = self.rings.lookup.send(lookup::Message::Stopping);
+        let _ = self.rings.announce.send(announce::Message::Stopping);
         let _ = self.rings.membership.send(membership::Message::Leaving);
         thread::sleep(Duration::from_millis(self.settings.linger_ms));
         self.context.stop();
@@ -287,8 +296,10 @@
         slots(),
         stop(),
     );
+    let drain = drain::spawn(context.clone(), ends.drain);
     let explain = explain::spawn(settings.explain, ends.explain);
     Ok(vec![
+        named("drain", drain)?,
         named("explain", explain)?,
         named("lookup", lookup)?,
         named("announce", announce)?,
@@ -316,6 +327,7 @@
 
 fn subscribers(rings: &Rings) -> Subscribers {
     Subscribers {
+        announce: rings.announce.clone(),
         lookup: rings.lookup.clone(),
         shift: rings.shift.clone(),
         slots: rings.slots.clone(),
@@ -323,6 +335,23 @@
     }
 }
 
+/// Reads how many messages wait in each ring.
+fn depths(rings: &Rings) -> admin::Depths {
+    let rings = rings.clone();
+    admin::Depths::new(move || {
+        vec![
+            ("ring_announce", rings.announce.depth()),
+            ("ring_drain", rings.out.drain.depth()),
+            ("ring_explain", rings.explain.depth()),
+            ("ring_forward", rings.out.forward.depth()),
+            ("ring_lookup", rings.lookup.depth()),
+            ("ring_relay", rings.out.relay.depth()),
+            ("ring_shift", rings.shift.depth()),
+            ("ring_slots", rings.slots.depth()),
+        ]
+    })
+}
+
 /// Opens the listeners.
 fn open(
     context: &Context,
@@ -357,6 +386,8 @@
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
+        drain: Some(rings.out.drain.clone()),
+        depths: depths(rings),
     };
     let callers = Box::new(move || callers::handler(front));
     let upstreams = Box::new(move || announce::handler(&told, announce));
--- a/src/spread/messages.rs
+++ b/src/spread/messages.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        lookup, membership,
+        announce, lookup, membership,
         policy::{Command, Policy},
         ring::Sender,
         shift, slots,
@@ -61,6 +61,8 @@
     pub lookup: Sender<lookup::Message>,
     /// Shifts move traffic.
     pub shift: Sender<shift::Message>,
+    /// A drained VM is no home.
+    pub announce: Sender<announce::Message>,
     /// Drained upstreams get no new work.
     pub slots: Sender<slots::Message>,
     /// Members tell each other their versions.
@@ -72,6 +74,9 @@
     pub fn notify(&self, policy: &Arc<Policy>) {
         // A subscriber that has ended needs no configuration.
         let _ = self.slots.send(slots::Message::Policy(Arc::clone(policy)));
+        let _ = self
+            .announce
+            .send(announce::Message::Policy(Arc::clone(policy)));
         let _ = self
             .lookup
             .send(lookup::Message::Policy(Arc::clone(policy)));
