Tell upstreams the homes among the members

The announce duty waits for the VMs that are alive with the addresses of their upstream listeners; members carry that address now.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -3,7 +3,7 @@
 use {
     super::wiring::Rings,
     crate::{
-        forward, lookup,
+        announce, forward, lookup,
         membership::{Lease, Member, Members, Outputs, Standing, TakeSlots, messages::Seen},
         policy::Policy,
         slots,
@@ -66,10 +66,11 @@
     seen: watch::Sender<Arc<Members>>,
 ) -> Outputs {
     let (lookup, forward) = (rings.lookup.clone(), rings.out.forward.clone());
-    let slots = rings.slots.clone();
+    let (announce, slots) = (rings.announce.clone(), rings.slots.clone());
     // A ring that is full now is tried again with the next round.
     let publish = move |members: &Members| {
         let _ = lookup.offer(lookup::Message::Vms(vms(members)));
+        let _ = announce.offer(announce::Message::Homes(homes(members)));
         let _ = forward.offer(forward::Message::Peers(peers(members, &own)));
     };
     let ask = move |take: TakeSlots| drop(slots.offer(slots::Message::Read(take)));
@@ -92,6 +93,17 @@
     members.rows.iter().map(vm).collect()
 }
 
+/// VMs that upstreams may announce themselves to.
+fn homes(members: &Members) -> Vec<announce::messages::Home> {
+    let usable = |row: &&Member| row.standing == Standing::Alive;
+    let home = |row: &Member| announce::messages::Home {
+        name: row.name.clone(),
+        zone: row.zone,
+        address: row.upstreams,
+    };
+    members.rows.iter().filter(usable).map(home).collect()
+}
+
 /// Other VMs that forwarded requests may go to.
 fn peers(members: &Members, own: &str) -> Vec<forward::messages::Peer> {
     let usable = |row: &&Member| row.standing == Standing::Alive && row.name != own;
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -75,7 +75,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Rings {
     pub lookup: ring::Sender<lookup::Message>,
-    announce: ring::Sender<announce::Message>,
+    pub announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
     pub slots: ring::Sender<slots::Message>,
     membership: ring::Sender<membership::Message>,
@@ -168,6 +168,7 @@
         let open = open(&context, &settings, &rings, &links, tables_seen, secret)?;
         let addresses = membership::Addresses {
             callers: open.callers.address,
+            upstreams: open.upstreams.address,
             peers: open.peers.address,
         };
         let outputs = outputs(context.vm.clone(), &rings, links.lease.clone(), feeds.seen);
@@ -345,6 +346,7 @@
             ("ring_explain", rings.explain.depth()),
             ("ring_forward", rings.out.forward.depth()),
             ("ring_lookup", rings.lookup.depth()),
+            ("ring_membership", rings.membership.depth()),
             ("ring_relay", rings.out.relay.depth()),
             ("ring_shift", rings.shift.depth()),
             ("ring_slots", rings.slots.depth()),
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -10,9 +10,11 @@
     },
     crate::{
         call::{Answer, Payload, Reason, Refusal},
+        clock::Micros,
         context::Context,
         fuzz,
         keys::{ServiceKey, ZoneKey},
+        membership::Lease,
         ring,
         settings::topology::{Kind, Topology},
         slots,
@@ -91,6 +93,8 @@
     let kinds = vec![kind("list", false), kind("book", true)];
     topology.add_service("swapdesk".to_owned(), kinds);
     let context = Context::new("entry-1", ZoneKey(0), Arc::new(topology));
+    let lease = Lease::default();
+    lease.extend(Micros(u64::MAX));
     let (slots, placed) = ring::bounded(2);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
@@ -114,7 +118,7 @@
         runtime.block_on(async {
             tokio::select! {
                 biased;
-                _ = receive(&context, &slots, &bytes) => panic!("nobody answers"),
+                _ = receive(&context, &lease, &slots, &bytes) => panic!("nobody answers"),
                 () = std::future::ready(()) => {}
             }
         });
--- a/src/membership/messages.rs
+++ b/src/membership/messages.rs
@@ -41,6 +41,8 @@
     pub members: SocketAddr,
     /// Address of its caller listener.
     pub callers: SocketAddr,
+    /// Address of its upstream listener.
+    pub upstreams: SocketAddr,
     /// Address of its peer listener.
     pub peers: SocketAddr,
     /// Rises with each restart and each refuted suspicion.
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -46,6 +46,7 @@
         zone: ZoneKey(zone),
         members: address(number),
         callers: address(number),
+        upstreams: address(number),
         peers: address(number),
         incarnation: 1_000,
         standing: Standing::Alive,
--- a/src/membership/thread.rs
+++ b/src/membership/thread.rs
@@ -67,6 +67,8 @@
 pub struct Addresses {
     /// Caller listener.
     pub callers: SocketAddr,
+    /// Upstream listener.
+    pub upstreams: SocketAddr,
     /// Peer listener.
     pub peers: SocketAddr,
 }
@@ -91,6 +93,7 @@
         zone: context.zone,
         members: bound.address,
         callers: addresses.callers,
+        upstreams: addresses.upstreams,
         peers: addresses.peers,
         incarnation: context.incarnation,
         standing: Standing::Suspect,
--- a/src/spread/tests.rs
+++ b/src/spread/tests.rs
@@ -40,6 +40,7 @@
         zone: ZoneKey(zone),
         members: address,
         callers: address,
+        upstreams: address,
         peers: SocketAddr::from(([127, 0, 0, 1], u16::try_from(version).unwrap())),
         incarnation: 1,
         standing: Standing::Alive,
