--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -115,6 +115,8 @@
             },
         };
         let bytes = postcard::to_stdvec(&forwarded).unwrap();
+        let lease = Lease::default();
+        lease.extend(Micros(u64::MAX));
         runtime.block_on(async {
             tokio::select! {
                 biased;
