--- a/tests/scenario.rs
+++ b/tests/scenario.rs
@@ -57,11 +57,19 @@
 
 scenarios! {
     answers_are_complete
+    cap_of_a_shift
     cut_answers_are_not_run_again
+    cut_during_a_drain
     drain_of_an_upstream
+    frozen_control
+    kill_during_a_shift
+    lost_region
+    lying_reports
     planned_stop
     restart_of_an_entry
+    silent_connections
     slots_are_not_exceeded
+    two_lost_disks
 }
 
 #[test]
--- a/tests/scenario/fake.rs
+++ b/tests/scenario/fake.rs
@@ -44,6 +44,8 @@
     FailAfterRun,
     /// Says that it has no load, whatever it runs.
     LieIdle,
+    /// Reports no load any more.
+    NoReport,
 }
 
 /// What the upstream has seen.
@@ -117,6 +119,11 @@
         self.inner.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Loses its process: open connections are cut, nothing is announced any more.
+    pub fn end(&self) {
+        self.inner.ended.store(true, Ordering::SeqCst);
+    }
+
     /// What it has seen.
     pub fn seen(&self) -> MutexGuard<'_, Seen> {
         self.inner.seen.lock().unwrap()
@@ -134,10 +141,14 @@
 
 fn announce(inner: &Inner) {
     while !inner.ended.load(Ordering::SeqCst) {
-        let lies = matches!(*inner.fault.lock().unwrap(), Fault::LieIdle);
+        let fault = inner.fault.lock().unwrap().clone();
         let running = inner.seen.lock().unwrap().running;
         let (home, mut body) = inner.fence.lock().unwrap().announcement();
-        body.load = Some(if lies { 0 } else { running });
+        body.load = match fault {
+            Fault::NoReport => None,
+            Fault::LieIdle => Some(0),
+            _ => Some(running),
+        };
         body.leaving = inner.leaving.load(Ordering::SeqCst);
         // The entry VM may be down; the next announcement makes it good.
         let wait = match sample::announce(home, &body) {
@@ -167,6 +178,9 @@
 fn converse(inner: &Inner, stream: &TcpStream) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     while let Some((key, holder)) = read_request(&mut reader)? {
+        if inner.ended.load(Ordering::SeqCst) {
+            return Ok(());
+        }
         let fault = inner.fault.lock().unwrap().clone();
         let refuse = fault == Fault::RefuseNotRun;
         let entered = if refuse {
--- a/tests/scenario/language.rs
+++ b/tests/scenario/language.rs
@@ -64,6 +64,10 @@
     Fault { upstream: String, fault: String },
     /// `leave UPSTREAM`
     Leave(String),
+    /// `end UPSTREAM`: its process is lost
+    End(String),
+    /// `await voters COUNT`
+    Voters(u64),
     /// `await version COUNT on ENTRY`
     Await { version: u64, entry: String },
     /// `mark UPSTREAM`: work begun so far does not count for `idle-since-mark`
@@ -104,6 +108,8 @@
     Crashes(u64),
     /// `idle-since-mark UPSTREAM`
     IdleSinceMark(String),
+    /// `begun UPSTREAM at-least COUNT`
+    Begun { upstream: String, count: u64 },
     /// `exit VM COUNT`
     Exit { vm: String, code: u64 },
     /// `moved at-most COUNT permille to UPSTREAM`
@@ -261,6 +267,8 @@
     alt((
         "settle".value(Action::Settle),
         word("leave", name).map(Action::Leave),
+        word("end", name).map(Action::End),
+        after_start("await voters", number).map(Action::Voters),
         word("mark", name).map(Action::Mark),
         awaited.map(|(version, entry)| Action::Await { version, entry }),
     ))
@@ -276,6 +284,7 @@
         after_start("refused at-most", number).map(Check::RefusedAtMost),
         refused,
         peak,
+        begun,
         after_start("crashes at-most", number).map(Check::Crashes),
         after_start("idle-since-mark", name).map(Check::IdleSinceMark),
         (word("exit", name), preceded(space1, number)).map(|(vm, code)| Check::Exit { vm, code }),
@@ -298,6 +307,12 @@
     Ok(Check::Peak { upstream, count })
 }
 
+fn begun(input: &mut &str) -> ModalResult<Check> {
+    let upstream = word("begun", name).parse_next(input)?;
+    let count = after("at-least", number).parse_next(input)?;
+    Ok(Check::Begun { upstream, count })
+}
+
 fn moved(input: &mut &str) -> ModalResult<Check> {
     let share = after_start("moved at-most", number).parse_next(input)?;
     let upstream = after("permille to", name).parse_next(input)?;
--- a/tests/scenario/run.rs
+++ b/tests/scenario/run.rs
@@ -133,6 +133,8 @@
             Action::Cut { from, to, cut } => self.world.cut(from, to, *cut)?,
             Action::Order { words, refused } => self.world.order(words, *refused)?,
             Action::Fault { upstream, fault } => self.fakes[upstream].fault(read_fault(fault)?),
+            Action::End(upstream) => self.fakes[upstream].end(),
+            Action::Voters(count) => self.world.await_voters(*count),
             Action::Leave(upstream) => self.fakes[upstream].leave(),
             Action::Await { version, entry } => self.world.await_version(*version, entry),
             Action::Mark(upstream) => {
@@ -229,6 +231,10 @@
                 let peak = self.fakes[upstream].seen().peak;
                 at_most(peak as usize, *count, "requests at the same time")
             }
+            Check::Begun { upstream, count } => {
+                let begun = self.fakes[upstream].seen().begun;
+                at_least(begun as usize, *count, "requests begun")
+            }
             Check::Crashes(most) => {
                 let crashes: u32 = self.fakes.values().map(|fake| fake.seen().crashes).sum();
                 at_most(crashes as usize, *most, "crashes")
@@ -300,6 +306,7 @@
         "refuse-not-run" => Fault::RefuseNotRun,
         "fail-after-run" => Fault::FailAfterRun,
         "lie-idle" => Fault::LieIdle,
+        "no-report" => Fault::NoReport,
         _ => return Err(format!("unknown fault {text:?}")),
     })
 }
--- a/tests/scenario/world.rs
+++ b/tests/scenario/world.rs
@@ -8,7 +8,12 @@
     },
     serde_json::{Value, json},
     siskinstep::edge::outbound,
-    std::{collections::BTreeMap, net::SocketAddr, process::Command, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::{SocketAddr, UdpSocket},
+        process::Command,
+        time::Duration,
+    },
 };
 
 const CONTROL: &str = env!("CARGO_BIN_EXE_siskinstep-control");
@@ -27,19 +32,6 @@
     fleet: Fleet,
     vms: BTreeMap<String, Vm>,
     relays: BTreeMap<(String, String), Relay>,
-    ledgers: Vec<(String, SocketAddr)>,
-}
-
-/// The first three entry VMs are the ledgers, or the first one where there are fewer.
-fn ledgers(lines: &[Line]) -> Vec<(String, SocketAddr)> {
-    let names = lines.iter().filter_map(|line| match &line.statement {
-        Statement::Entry { name, .. } => Some(name.clone()),
-        _ => None,
-    });
-    let names: Vec<String> = names.collect();
-    let count = if names.len() < 3 { 1 } else { 3 };
-    let names = names.into_iter().take(count);
-    names.map(|name| (name, free_address())).collect()
 }
 
 impl World {
@@ -49,58 +41,68 @@
             fleet: Fleet::new(),
             vms: BTreeMap::new(),
             relays: BTreeMap::new(),
-            ledgers: ledgers(lines),
         };
         let counts = lines.iter().filter_map(|line| match line.statement {
             Statement::Control(count) => Some(count),
             _ => None,
         });
         world.start_control(counts.max().unwrap_or(1));
-        for line in lines {
-            if let Statement::Entry { name, zone } = &line.statement {
-                world.start_entry(name, zone);
-            }
-        }
+        let entries = lines.iter().filter_map(|line| match &line.statement {
+            Statement::Entry { name, zone } => Some((name.as_str(), zone.as_str())),
+            _ => None,
+        });
+        world.start_entries(&entries.collect::<Vec<_>>());
         world
     }
 
     fn start_control(&mut self, count: u64) {
-        for at in 1..=count {
-            let name = format!("control-{at}");
-            let mut settings = self.fleet.settings(&name, "derwent-a");
+        let members: Vec<Value> = (1..=count).map(member).collect();
+        let mut started = Vec::new();
+        for row in &members {
+            let name = row["name"].as_str().unwrap();
+            let mut settings = self.fleet.settings(name, "derwent-a");
             settings["listeners"] = json!({
-                "operators": free_address(),
-                "peers": free_address(),
+                "operators": row["operators"],
+                "peers": row["peers"],
                 "admin": free_address(),
             });
+            settings["members"] = json!(members);
+            settings["data_dir"] = json!(self.fleet.folder.path().join(name));
+            started.push((name.to_owned(), settings));
+        }
+        for (name, settings) in started {
             self.add(&name, CONTROL, settings);
         }
     }
 
-    fn start_entry(&mut self, name: &str, zone: &str) {
-        let mut settings = self.fleet.settings(name, zone);
-        settings["listeners"] = json!({
-            "callers": free_address(),
-            "upstreams": free_address(),
-            "peers": free_address(),
-            "admin": free_address(),
-        });
-        let control: Vec<SocketAddr> = self
-            .named("control-")
+    /// Starts the entry VMs; the first three keep ledgers, or the first one where there are fewer.
+    fn start_entries(&mut self, entries: &[(&str, &str)]) {
+        let listeners: Vec<Value> = entries.iter().map(|_| listeners()).collect();
+        let seeds: Vec<&Value> = listeners.iter().map(|row| &row["members"]).collect();
+        let keepers = if entries.len() < 3 {
+            entries.len().min(1)
+        } else {
+            3
+        };
+        let ledgers: Vec<&Value> = listeners[..keepers]
             .iter()
-            .map(|control| self.way(name, control, "peers"))
+            .map(|row| &row["peers"])
             .collect();
-        settings["spread"] = json!({ "control": control });
-        self.set_ledgers(name, &mut settings);
-        self.add(name, ENTRY, settings);
-    }
-
-    fn set_ledgers(&self, name: &str, settings: &mut Value) {
-        let addresses: Vec<SocketAddr> = self.ledgers.iter().map(|row| row.1).collect();
-        settings["claims"] = json!({"groups": [{"name": "derwent", "ledgers": addresses}]});
-        if let Some((_, peers)) = self.ledgers.iter().find(|row| row.0 == name) {
-            settings["listeners"]["peers"] = json!(peers);
-            settings["data_dir"] = json!(self.fleet.folder.path().join(format!("{name}-data")));
+        for (at, (name, zone)) in entries.iter().enumerate() {
+            let mut settings = self.fleet.settings(name, zone);
+            settings["listeners"] = listeners[at].clone();
+            let control: Vec<SocketAddr> = self
+                .named("control-")
+                .iter()
+                .map(|control| self.way(name, control, "peers"))
+                .collect();
+            settings["spread"] = json!({ "control": control });
+            settings["membership"] = json!({"seeds": seeds, "round_ms": 100});
+            settings["claims"] = json!({"groups": [{"name": "all", "ledgers": ledgers}]});
+            if at < ledgers.len() {
+                settings["data_dir"] = json!(self.fleet.folder.path().join(name));
+            }
+            self.add(name, ENTRY, settings);
         }
     }
 
@@ -201,23 +203,28 @@
 
     /// Runs the operator's command line and checks whether it was refused.
     pub fn order(&self, words: &str, refused: bool) -> Result<(), String> {
+        match self.operate(words) {
+            Ok(_) if refused => Err(format!("order {words:?} was not refused")),
+            Err(why) if !refused => Err(format!("order {words:?}: {why}")),
+            _ => Ok(()),
+        }
+    }
+
+    fn operate(&self, words: &str) -> Result<String, String> {
         let mut command = Command::new(OPERATOR);
-        command
-            .arg("--secret")
-            .arg(self.fleet.folder.path().join("secret"));
+        let secret = self.fleet.folder.path().join("secret");
+        command.arg("--secret").arg(secret);
         for control in self.named("control-") {
-            command
-                .arg("--control")
-                .arg(self.address(&control, "operators").to_string());
+            let address = self.address(&control, "operators").to_string();
+            command.args(["--control", &address]);
         }
         let output = command.args(words.split_whitespace()).output().unwrap();
-        if output.status.success() != refused {
-            return Ok(());
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        if output.status.success() {
+            Ok(text(&output.stdout))
+        } else {
+            Err(text(&output.stderr))
         }
-        Err(format!(
-            "order {words:?}: {}",
-            String::from_utf8_lossy(&output.stderr)
-        ))
     }
 
     pub fn await_upstream(&self, entry: &str, name: &str) {
@@ -227,6 +234,18 @@
         });
     }
 
+    /// Waits until so many control VMs vote.
+    pub fn await_voters(&self, count: u64) {
+        eventually("the control VMs vote", || {
+            let members = self.operate("--output json members").ok()?;
+            let rows: Vec<Value> = serde_json::from_str(&members).ok()?;
+            let votes = rows
+                .iter()
+                .filter(|row| row["voter"] == true && row["alive"] == true);
+            (votes.count() as u64 == count).then_some(())
+        });
+    }
+
     pub fn await_version(&self, version: u64, entry: &str) {
         let row = format!("level{{what=\"version\"}} {version}\n");
         eventually("the version is in force", || {
@@ -264,3 +283,22 @@
             .unwrap_or_else(|| panic!("no VM of the name {name}"))
     }
 }
+
+fn member(at: u64) -> Value {
+    json!({
+        "name": format!("control-{at}"),
+        "peers": free_address(),
+        "operators": free_address(),
+    })
+}
+
+fn listeners() -> Value {
+    let members = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr();
+    json!({
+        "callers": free_address(),
+        "upstreams": free_address(),
+        "peers": free_address(),
+        "admin": free_address(),
+        "members": members.unwrap(),
+    })
+}
