Prove that a leader that nobody hears accepts nothing

A leader made to commit alone passed the race under kills, as followers have an entry within microseconds. With both followers stopped, its answer must be that the outcome is unknown; the broken leader answered with a conflict.

--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,11 +4,11 @@
 mod common;
 
 use {
-    common::{Fleet, Process, SECRET, eventually, free_address},
-    serde_json::json,
+    common::{Fleet, PATIENCE, Process, SECRET, eventually, free_address},
+    serde_json::{Value, json},
     siskinstep::{
         agree::{MemberChange, MemberStatus},
-        edge::Secret,
+        edge::{Secret, client::Client},
         operator::{Operator, OperatorError},
         policy::{Accepted, Change, Command, Drain, state::Receipt},
     },
@@ -222,6 +222,31 @@
         }
         cluster.await_whole(3);
     }
+    // A leader that nobody hears takes nothing that its end could lose.
+    let leader = cluster.leader();
+    let others: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
+    for at in &others {
+        cluster.signal(*at, "STOP");
+    }
+    let client = Client::new(cluster.places[leader].1, &Secret::new(SECRET), PATIENCE).unwrap();
+    let unheard = drain("unheard", 0);
+    let answer = runtime().block_on(client.call::<Value>("submit", &unheard));
+    let refused = answer.unwrap_err().to_string();
+    // Neither accepted nor lost to a race: it cannot be known.
+    assert!(
+        refused.contains("unknown") || refused.contains("no_quorum"),
+        "{refused}"
+    );
+    cluster.kill(leader);
+    for at in &others {
+        cluster.signal(*at, "CONT");
+    }
+    let before = cluster.history().len();
+    eventually("the others take commands", || {
+        (cluster.history().len() > before + 3).then_some(())
+    });
+    cluster.launch(leader);
+    cluster.await_whole(3);
     stop.store(true, Ordering::SeqCst);
     check(&cluster, racers);
 }
