--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -116,7 +116,9 @@
         let board = admin::Board {
             context: context.clone(),
             slots: None,
+            shift: None,
             drain: None,
+            poison: None,
             depths: admin::Depths::default(),
         };
         let admin = listen(
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -66,11 +66,13 @@
     seen: watch::Sender<Arc<Members>>,
 ) -> Outputs {
     let (lookup, forward) = (rings.lookup.clone(), rings.out.forward.clone());
-    let slots = rings.slots.clone();
+    let (slots, others) = (rings.slots.clone(), rings.peers.clone());
     // A ring that is full now is tried again with the next round.
     let publish = move |members: &Members| {
         let _ = lookup.offer(lookup::Message::Vms(vms(members)));
-        let _ = forward.offer(forward::Message::Peers(peers(members, &own)));
+        let peers = peers(members, &own);
+        others.send_replace(Arc::new(peers.clone()));
+        let _ = forward.offer(forward::Message::Peers(peers));
     };
     let ask = move |take: TakeSlots| drop(slots.offer(slots::Message::Read(take)));
     Outputs {
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -66,6 +66,14 @@
     CONFIG_MISMATCH = 2111 Error "Two configurations of one version differ", "None: fetched again from control. Report it if it repeats.";
     CONFIG_FLOOR = 2112 Warn "Started without an answer of the zone or control", "Check seeds, control VMs and the network; the last known configuration serves.";
     CONFIG_DISK = 2113 Warn "Configuration could not be kept on disk", "Check `data_dir`; peers hold the configuration too.";
+    LEDGER_BLANK = 2201 Warn "Ledger has no memory and does not vote yet", "None on a first start; else see `docs/claims.md`, lost disk.";
+    LEDGER_VOTES = 2202 Info "Ledger votes", "None.";
+    LEDGER_FAILED = 2203 Error "Ledger's disk failed, it takes no more orders", "Replace the disk, then restart the VM.";
+    LEDGER_DAMAGED = 2204 Error "Ledger's file was damaged and put aside", "Check the disk; see `docs/claims.md`, lost disk.";
+    LEDGER_FULL = 2205 Warn "Ledger is full and grants no new key", "Raise `ledger.keys` or `ledger.bytes`, or shorten `ledger.expiry_ms`.";
+    UPSTREAM_LOST = 2211 Warn "Upstream's process was lost while it ran a request", "Check the upstream; `/poison` of the admin listener lists the request.";
+    POISONED = 2212 Error "Request is refused as it crashed upstreams", "See `docs/poison.md`; lift it once the upstreams are mended.";
+    POISON_LIFTED = 2213 Info "Charges for lost upstreams were lifted", "None.";
     DRAIN_BEGAN = 2301 Info "Drain began", "None.";
     DRAIN_DONE = 2302 Info "Drain complete: nothing in flight", "What was drained may be stopped once every VM says so.";
 }
