Bound a command, held messages and a failing write

A command above the body limit of the peers' listener could be logged and never replicated, which would have blocked the log; it is refused before the log (seen failing without the bound). Messages that wait for a failing disk are bounded, and setting a folder aside interrupts a write that is being retried, whose message was lost before.

--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -11,7 +11,7 @@
     crate::{
         clock::Micros,
         keys::{DiskKey, ExchangeKey, TicketKey},
-        policy::Command,
+        policy::{Command, Rejection},
         storage::{Ack, Batch, Entry, Position},
     },
     std::net::SocketAddr,
@@ -19,6 +19,10 @@
 
 /// Commands that may wait for a quorum at once.
 const MOST_WAITING: usize = 1_024;
+/// Messages that may wait for the disk at once.
+const MOST_HELD: usize = 1_024;
+/// A command, as JSON; several have to fit into one message.
+const COMMAND_BYTES: usize = 16 << 10;
 
 /// What the replica is told.
 #[derive(Clone, Debug)]
@@ -157,7 +161,7 @@
 }
 
 /// Whether this replica leads or has heard a leader lately, so that its configuration is not old.
-pub(super) fn is_fresh(state: &State, now: Micros) -> bool {
+pub(super) fn is_current(state: &State, now: Micros) -> bool {
     state.leads() || now < state.heard.plus_millis(2 * state.settings.election_ms)
 }
 
@@ -174,6 +178,11 @@
             answer: Err(Unavailable::Busy),
         });
     };
+    if json.len() > COMMAND_BYTES {
+        let findings = vec![format!("command: expected at most {COMMAND_BYTES} bytes")];
+        let answer = Ok(Err(Rejection::Invalid { findings }));
+        return step.out.push(Effect::Answer { ticket, answer });
+    }
     if waiting >= MOST_WAITING {
         let answer = Err(Unavailable::Busy);
         return step.out.push(Effect::Answer { ticket, answer });
@@ -319,6 +328,11 @@
     }
 
     fn hold(&mut self, to: SocketAddr, disk: DiskKey, exchange: Option<ExchangeKey>, body: Body) {
+        if self.state.held.len() >= MOST_HELD {
+            // A disk that fails for long; the peer sends again.
+            self.out.extend(exchange.map(Effect::Unanswered));
+            return;
+        }
         let envelope = self.envelope(disk, body);
         self.state.held.push_back(Held {
             write: self.state.pending_write(),
--- a/src/agree/join.rs
+++ b/src/agree/join.rs
@@ -20,7 +20,7 @@
     }
     let beat = step.state.settings.heartbeat_ms;
     // A member that was removed may not know it, and hears no leader.
-    let led = decide::is_fresh(step.state, step.now);
+    let led = decide::is_current(step.state, step.now);
     let settled = step.state.admitted && step.state.votes() && led;
     step.state.hello = step.after(if settled { 10 * beat } else { beat });
     if settled {
--- a/src/agree/tests/scripted.rs
+++ b/src/agree/tests/scripted.rs
@@ -239,3 +239,23 @@
     assert_eq!(world.oracle.changes, 3);
     world.heal_and_check(FOUNDERS);
 }
+
+#[test]
+fn a_command_too_large_for_a_message_is_refused_and_blocks_nothing() {
+    let mut world = founded(6);
+    accept(&mut world, 2);
+    let leader = world.leader().unwrap();
+    let last = |world: &World| world.nodes[leader].state.as_ref().unwrap().log.last();
+    let before = last(&world);
+    world.order(leader);
+    let at = world.commands.len() - 1;
+    world.run(60);
+    world.commands[at].id = "x".repeat(20_000);
+    world.resend(leader, at);
+    world.run(60);
+    assert_eq!(last(&world).index, before.index + 1);
+    let answers = world.oracle.answers.rows().iter();
+    let refused = answers.filter(|(_, answer)| answer.is_err()).count();
+    assert_eq!(refused, 1);
+    accept(&mut world, 2);
+}
--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -154,7 +154,7 @@
         for effect in decide::step(&mut self.state, input, now, rand::random()) {
             self.carry_out(effect);
         }
-        let fresh = decide::is_fresh(&self.state, now);
+        let fresh = decide::is_current(&self.state, now);
         self.outlets.fresh.send_if_modified(|seen| {
             let changed = *seen != fresh;
             *seen = fresh;
--- a/src/storage/thread.rs
+++ b/src/storage/thread.rs
@@ -40,11 +40,16 @@
     tell: impl Fn(Report) + Send + 'static,
 ) -> io::Result<JoinHandle<()>> {
     let run = move || {
-        while let Some(message) = ring.recv() {
-            match message {
+        let mut next = ring.recv();
+        while let Some(message) = next {
+            let interrupted = match message {
                 Message::Write(batch) => write(folder.as_mut(), &batch, &ring, &tell),
-                Message::Renew(disk) => renew(folder.as_mut(), disk, &tell),
-            }
+                Message::Renew(disk) => {
+                    renew(folder.as_mut(), disk, &tell);
+                    None
+                }
+            };
+            next = interrupted.or_else(|| ring.recv());
         }
     };
     std::thread::Builder::new()
@@ -52,21 +57,26 @@
         .spawn(run)
 }
 
-/// Tries until the batch is durable or the ring closes.
-fn write(folder: Option<&mut Folder>, batch: &Batch, ring: &Ring<Message>, tell: &impl Fn(Report)) {
-    let Some(folder) = folder else {
-        tell(Report::Ack(Ack::Synced));
-        return;
-    };
-    while let Err(error) = folder.write(batch) {
-        let detail = error.to_string();
-        tell(Report::Ack(Ack::Failed { detail }));
-        // No other message comes before the acknowledgement.
-        if matches!(ring.recv_within(RETRY), Wait::Closed) {
-            return;
+/// Tries until the batch is durable, the ring closes, or a message comes that makes it void.
+fn write(
+    folder: Option<&mut Folder>,
+    batch: &Batch,
+    ring: &Ring<Message>,
+    tell: &impl Fn(Report),
+) -> Option<Message> {
+    if let Some(folder) = folder {
+        while let Err(error) = folder.write(batch) {
+            let detail = error.to_string();
+            tell(Report::Ack(Ack::Failed { detail }));
+            match ring.recv_within(RETRY) {
+                Wait::Timeout => {}
+                Wait::Message(message) => return Some(message),
+                Wait::Closed => return None,
+            }
         }
     }
     tell(Report::Ack(Ack::Synced));
+    None
 }
 
 fn renew(folder: Option<&mut Folder>, disk: DiskKey, tell: &impl Fn(Report)) {
