--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -77,7 +77,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Rings {
     pub lookup: ring::Sender<lookup::Message>,
-    announce: ring::Sender<announce::Message>,
+    pub announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
     poison: ring::Sender<poison::Message>,
     verdicts: watch::Receiver<Arc<poison::Verdicts>>,
@@ -215,6 +215,7 @@
         )?;
         let addresses = membership::Addresses {
             callers: open.callers.address,
+            upstreams: open.upstreams.address,
             peers: open.peers.address,
         };
         let outputs = outputs(context.vm.clone(), &rings, links.lease.clone(), feeds.seen);
@@ -454,6 +455,7 @@
             ("ring_explain", rings.explain.depth()),
             ("ring_forward", rings.out.forward.depth()),
             ("ring_lookup", rings.lookup.depth()),
+            ("ring_membership", rings.membership.depth()),
             ("ring_poison", rings.poison.depth()),
             ("ring_relay", rings.out.relay.depth()),
             ("ring_shift", rings.shift.depth()),
