--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -10,6 +10,7 @@
         explain::Step,
         keys::RequestId,
         lookup::Table,
+        membership::Lease,
         shift,
     },
     bytes::Bytes,
@@ -26,6 +27,8 @@
 pub struct Front {
     /// Who we are.
     pub context: Context,
+    /// Lease under which this VM serves.
+    pub lease: Lease,
     /// Where requests go.
     pub router: shift::Router,
     /// Rankings of the look-up duty.
@@ -90,6 +93,9 @@
         if self.front.context.stopping() {
             return Err(Refusal::not_run(Reason::Stopping));
         }
+        if !self.front.lease.holds(self.front.context.clock.now()) {
+            return Err(Refusal::not_run(Reason::NotJoined));
+        }
         let decoded = decode::decode(&self.front.context, id, incoming)?;
         let version = self.front.tables.borrow().version;
         let kind = decoded.meta.kind;
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -10,7 +10,8 @@
         observe::{Event, report},
         operator,
         policy::Policy,
-        ring, spread,
+        ring,
+        spread::{self, Fleet, Source},
         storage::{self, Folder, Hard, Recovered, StorageError},
     },
     jsonrpsee::{RpcModule, core::RegisterMethodError},
@@ -62,6 +63,8 @@
     admin: Running,
     ring: ring::Sender<agree::Message>,
     threads: Vec<JoinHandle<()>>,
+    // News always reach a control VM; what they are is for the agree duty to say.
+    _fresh: watch::Sender<bool>,
 }
 
 impl Control {
@@ -81,18 +84,27 @@
         };
         let threads = start_replica(settings, &context, secret, replica)?;
         let listeners = settings.listeners;
-        let (inner, ring) = (context.clone(), agree.clone());
+        let fleet = Fleet::new(context.clock);
+        let (inner, ring, shown) = (context.clone(), agree.clone(), fleet.clone());
         let operators = listen(
             "operators",
             listeners.operators,
             settings,
             &context,
             Some(secret),
-            move || operator::handler(&inner, ring).unwrap_or_else(|error| refuse_all(&error)),
+            move || {
+                operator::handler(&inner, ring, shown).unwrap_or_else(|error| refuse_all(&error))
+            },
         )?;
         let mut module = RpcModule::new(());
-        spread::register(&mut module, policies_seen)?;
         agree::transport::register(&mut module, agree.clone())?;
+        let (fresh_in, fresh) = watch::channel(true);
+        let source = Source {
+            policies: policies_seen,
+            fresh,
+            fleet: Some(fleet),
+        };
+        spread::register(&mut module, source)?;
         let peers = listen(
             "peers",
             listeners.peers,
@@ -124,6 +136,7 @@
             admin,
             ring: agree,
             threads,
+            _fresh: fresh_in,
         })
     }
 
--- a/src/forward/receive.rs
+++ b/src/forward/receive.rs
@@ -4,9 +4,11 @@
     super::{encode, messages::Forwarded},
     crate::{
         call::{Call, Outcome, Reason, Refusal},
+        cancel,
         context::Context,
         edge::Outgoing,
         keys::RequestId,
+        membership::Lease,
         ring::{Rejected, Sender},
         shift, slots,
     },
@@ -20,6 +22,7 @@
 /// Runs a forwarded request here and answers with its outcome.
 pub async fn receive(
     context: &Context,
+    lease: &Lease,
     slots: &Sender<slots::Message>,
     shift: &Sender<shift::Message>,
     body: &[u8],
@@ -28,7 +31,11 @@
         return Outgoing::refusal(400, "malformed");
     };
     let _guard = context.enter();
-    let outcome = run(context, slots, shift, forwarded).await;
+    let outcome = if lease.holds(context.clock.now()) {
+        run(context, slots, shift, forwarded).await
+    } else {
+        Err(Refusal::not_run(Reason::NotJoined))
+    };
     context.metrics.count("forwarded_in", 1);
     match encode::outcome(&outcome) {
         Ok(bytes) => Outgoing::new(200, "application/octet-stream", bytes),
@@ -56,7 +63,12 @@
     }
     let (tx, rx) = oneshot::channel();
     let reply = Box::new(move |outcome| drop(tx.send(outcome)));
-    let call = Call::new(meta, forwarded.key, forwarded.payload, reply);
+    let mut call = Call::new(meta, forwarded.key, forwarded.payload, reply);
+    // Dropped with this future when the peer closes the connection, as its caller has gone.
+    let (_guard, cancel) = cancel::pair();
+    if !context.topology.kind_row(meta.kind).once {
+        call = call.with_cancel(cancel);
+    }
     if let Err(Rejected::Full(slots::Message::Place(call))) =
         slots.offer(slots::Message::Place(call))
     {
