--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -118,6 +118,7 @@
             slots: None,
             shift: None,
             drain: None,
+            poison: None,
             depths: admin::Depths::default(),
         };
         let admin = listen(
--- a/src/shift/mod.rs
+++ b/src/shift/mod.rs
@@ -19,7 +19,7 @@
     ask::{Sources, ask, register},
     grant::Ask,
     messages::{Message, Status, Wanted},
-    router::{Router, Shifted},
+    router::{Onward, Router, Shifted},
     settings::Settings,
     thread::spawn,
 };
--- a/src/shift/thread.rs
+++ b/src/shift/thread.rs
@@ -4,22 +4,16 @@
     super::{
         decide, grant,
         messages::{Message, Status},
-        router::Shifted,
+        router::{Onward, Shifted},
         settings::Settings,
         state::{Row, State},
     },
-    crate::{
-        call::{Call, Reason, Refusal},
-        context::Context,
-        explain::Step,
-        ring::{Rejected, Ring, Sender},
-        slots,
-    },
+    crate::{call::Call, context::Context, explain::Step, ring::Ring},
     std::{io, sync::Arc, thread::JoinHandle},
     tokio::sync::watch,
 };
 
-/// Starts the duty; requests go on to `slots`, and the services that it wants to see out through
+/// Starts the duty; requests go `onward`, and the services that it wants to see out through
 /// `shifted`.
 ///
 /// # Errors
@@ -28,13 +22,13 @@
     context: Context,
     settings: Settings,
     ring: Ring<Message>,
-    slots: Sender<slots::Message>,
+    onward: Onward,
     shifted: watch::Sender<Shifted>,
 ) -> io::Result<JoinHandle<()>> {
     let duty = Duty {
         context,
         settings,
-        slots,
+        onward,
         shifted,
         state: State::default(),
     };
@@ -46,7 +40,7 @@
 struct Duty {
     context: Context,
     settings: Settings,
-    slots: Sender<slots::Message>,
+    onward: Onward,
     shifted: watch::Sender<Shifted>,
     state: State,
 }
@@ -95,11 +89,7 @@
             self.context.note(call.meta.id, Step::Shifted { target });
             self.context.metrics.count("requests_moved", 1);
         }
-        if let Err(Rejected::Full(slots::Message::Place(call))) =
-            self.slots.offer(slots::Message::Place(call))
-        {
-            call.finish(Err(Refusal::not_run(Reason::RingFull)));
-        }
+        self.onward.serve(call);
     }
 
     fn statuses(&self) -> Vec<Status> {
