--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -77,7 +77,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Rings {
     pub lookup: ring::Sender<lookup::Message>,
-    announce: ring::Sender<announce::Message>,
+    pub announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
     poison: ring::Sender<poison::Message>,
     verdicts: watch::Receiver<Arc<poison::Verdicts>>,
@@ -215,6 +215,7 @@
         )?;
         let addresses = membership::Addresses {
             callers: open.callers.address,
+            upstreams: open.upstreams.address,
             peers: open.peers.address,
         };
         let outputs = outputs(context.vm.clone(), &rings, links.lease.clone(), feeds.seen);
@@ -308,6 +309,15 @@
     }
 }
 
+/// The duties after the shift duty.
+fn onward(context: &Context, rings: &Rings) -> shift::Onward {
+    shift::Onward {
+        topology: Arc::clone(&context.topology),
+        claims: rings.claims.claims.clone(),
+        slots: rings.slots.clone(),
+    }
+}
+
 /// Starts the duties that only talk over rings and to upstreams or peers.
 fn duties(
     context: &Context,
@@ -327,6 +337,21 @@
     let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
     let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
     let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
+    let claims = claims::spawn(
+        context.clone(),
+        settings.claims.clone(),
+        ends.claims,
+        rings.claims.clone(),
+        stop(),
+    );
+    let send = claims::send::spawn(
+        context.clone(),
+        settings.claims.clone(),
+        secret.clone(),
+        ends.ledgers,
+        rings.claims.claims.clone(),
+        stop(),
+    );
     let shift = shift::spawn(
         context.clone(),
         settings.shift,
@@ -345,21 +370,6 @@
         sources,
         stop(),
     );
-    let claims = claims::spawn(
-        context.clone(),
-        settings.claims.clone(),
-        ends.claims,
-        rings.claims.clone(),
-        stop(),
-    );
-    let send = claims::send::spawn(
-        context.clone(),
-        settings.claims.clone(),
-        secret.clone(),
-        ends.ledgers,
-        rings.claims.claims.clone(),
-        stop(),
-    );
     let placing = slots::spawn(
         context.clone(),
         settings.slots,
@@ -399,9 +409,9 @@
         named("lookup", lookup)?,
         named("announce", announce)?,
         named("shift", shift)?,
-        named("headroom", headroom)?,
         named("claims", claims)?,
         named("claims-send", send)?,
+        named("headroom", headroom)?,
         named("slots", placing)?,
         named("relay", relay)?,
         named("forward", forward)?,
@@ -433,15 +443,6 @@
     }
 }
 
-/// The way of requests whose zone is decided.
-fn onward(context: &Context, rings: &Rings) -> shift::Onward {
-    shift::Onward {
-        claims: rings.claims.claims.clone(),
-        slots: rings.slots.clone(),
-        topology: Arc::clone(&context.topology),
-    }
-}
-
 /// Reads how many messages wait in each ring.
 fn depths(rings: &Rings) -> admin::Depths {
     let rings = rings.clone();
@@ -454,6 +455,7 @@
             ("ring_explain", rings.explain.depth()),
             ("ring_forward", rings.out.forward.depth()),
             ("ring_lookup", rings.lookup.depth()),
+            ("ring_membership", rings.membership.depth()),
             ("ring_poison", rings.poison.depth()),
             ("ring_relay", rings.out.relay.depth()),
             ("ring_shift", rings.shift.depth()),
@@ -482,23 +484,23 @@
         };
         edge::spawn(listener, context.clone(), make)
     };
+    let region = &context.topology.regions[usize::from(context.topology.region_of(context.zone).0)];
     let router = shift::Router {
         shift: rings.shift.clone(),
-        shifted: rings.shifted.subscribe(),
         onward: onward(context, rings),
+        shifted: rings.shifted.subscribe(),
     };
-    let region = &context.topology.regions[usize::from(context.topology.region_of(context.zone).0)];
     let front = Front {
         context: context.clone(),
-        router,
         lease: links.lease.clone(),
+        router,
         tables,
         group: claims::home::own(&settings.claims.groups, region),
     };
     let (told, announce) = (context.clone(), rings.announce.clone());
     let (served, slots) = (context.clone(), rings.slots.clone());
-    let arrivals = rings.shift.clone();
     let lease = links.lease.clone();
+    let arrivals = rings.shift.clone();
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -17,7 +17,7 @@
         membership::Lease,
         ring,
         settings::topology::{Kind, Topology},
-        shift, slots,
+        slots,
     },
     std::sync::Arc,
 };
@@ -93,10 +93,9 @@
     let kinds = vec![kind("list", false), kind("book", true)];
     topology.add_service("swapdesk".to_owned(), kinds);
     let context = Context::new("entry-1", ZoneKey(0), Arc::new(topology));
-    let (slots, placed) = ring::bounded(2);
-    let (shift, _arrivals) = ring::bounded::<shift::Message>(2);
     let lease = Lease::default();
     lease.extend(Micros(u64::MAX));
+    let (slots, placed) = ring::bounded(2);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .unwrap();
@@ -116,6 +115,9 @@
             },
         };
         let bytes = postcard::to_stdvec(&forwarded).unwrap();
+        let (shift, _arrivals) = ring::bounded(1);
+        let lease = Lease::default();
+        lease.extend(Micros(u64::MAX));
         runtime.block_on(async {
             tokio::select! {
                 biased;
--- a/src/shift/thread.rs
+++ b/src/shift/thread.rs
@@ -13,7 +13,7 @@
     tokio::sync::watch,
 };
 
-/// Starts the duty; requests go `onward`, and the services that it wants to see out through
+/// Starts the duty; requests go on through `onward`, and the services that it wants to see out through
 /// `shifted`.
 ///
 /// # Errors
@@ -89,7 +89,7 @@
             self.context.note(call.meta.id, Step::Shifted { target });
             self.context.metrics.count("requests_moved", 1);
         }
-        self.onward.serve(call);
+        self.onward.send(call);
     }
 
     fn statuses(&self) -> Vec<Status> {
