--- a/src/cli/render.rs
+++ b/src/cli/render.rs
@@ -5,6 +5,7 @@
         agree::MemberStatus,
         operator::Status,
         policy::{Accepted, state::Receipt},
+        spread::FleetRow,
     },
     serde::Serialize,
 };
@@ -80,3 +81,18 @@
     let lines: Vec<String> = members.iter().map(line).collect();
     lines.join("\n")
 }
+
+pub(super) fn fleet(rows: &[FleetRow]) -> String {
+    let mut lines = vec![format!(
+        "{:<24} {:<24} {:>9} {:>9}",
+        "vm", "zone", "version", "age ms"
+    )];
+    for row in rows {
+        let line = format!(
+            "{:<24} {:<24} {:>9} {:>9}",
+            row.vm, row.zone, row.version, row.age_ms
+        );
+        lines.push(line);
+    }
+    lines.join("\n")
+}
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -6,6 +6,7 @@
         agree::{MemberChange, MemberStatus, Unavailable},
         edge::{Secret, client::Client, rpc::UNAVAILABLE},
         policy::{Accepted, Command, state::Receipt},
+        spread::FleetRow,
     },
     jsonrpsee::core::ClientError,
     serde::{Serialize, de::DeserializeOwned},
@@ -123,6 +124,32 @@
         }
     }
 
+    /// Reads the version in force on each entry VM, by name. Each control VM knows what it was
+    /// told, so all are asked and the latest report of each VM counts.
+    ///
+    /// # Errors
+    /// No control VM answered.
+    pub async fn fleet(&self) -> Result<Vec<FleetRow>, OperatorError> {
+        let mut tried = Vec::new();
+        let mut rows: Vec<FleetRow> = Vec::new();
+        for address in &self.addresses {
+            let none = serde_json::json!({});
+            match self
+                .call_one::<Vec<FleetRow>>(*address, "fleet", &none)
+                .await
+            {
+                Ok(told) => rows.extend(told),
+                Err(error) => tried.push(format!("{address}: {error}")),
+            }
+        }
+        if tried.len() == self.addresses.len() {
+            return NoAnswerSnafu { tried }.fail();
+        }
+        rows.sort_by(|a, b| (&a.vm, a.age_ms).cmp(&(&b.vm, b.age_ms)));
+        rows.dedup_by(|later, first| later.vm == first.vm);
+        Ok(rows)
+    }
+
     /// Goes round the control VMs, the one that is said to lead first, until one answers.
     async fn call<T: DeserializeOwned>(
         &self,
