Send a request on to the VM of its zone that has a free slot

Cause: an upstream has one home, so a VM may be the home of no upstream of a service while its neighbour in the zone has free slots; its callers were refused no_upstream. With two VMs a zone and two upstreams of swapdesk that is every second zone.

A request that would not get a slot at once goes to the VM of the zone with the most free slots of its service, less what is on its way there; with none, or if that VM does not run it, it comes back and waits here. It is sent on once at most. Peers are known by free slots of each service. Inherited slots are not free any more in what members are told.

Members tell each other the address of their upstream listener, so that announcements name the upstream's best home in the zone.

Ruled out: telling callers by service in the look-up; rankings are made for all services and are up to a second old.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -3,7 +3,7 @@
 use {
     super::wiring::Rings,
     crate::{
-        forward, lookup,
+        announce, forward, lookup,
         membership::{Lease, Member, Members, Outputs, Standing, TakeSlots, messages::Seen},
         policy::Policy,
         slots,
@@ -66,11 +66,12 @@
     seen: watch::Sender<Arc<Members>>,
 ) -> Outputs {
     let (lookup, forward) = (rings.lookup.clone(), rings.out.forward.clone());
-    let slots = rings.slots.clone();
+    let (slots, announce) = (rings.slots.clone(), rings.announce.clone());
     // A ring that is full now is tried again with the next round.
     let publish = move |members: &Members| {
         let _ = lookup.offer(lookup::Message::Vms(vms(members)));
         let _ = forward.offer(forward::Message::Peers(peers(members, &own)));
+        let _ = announce.offer(announce::Message::Homes(homes(members)));
     };
     let ask = move |take: TakeSlots| drop(slots.offer(slots::Message::Read(take)));
     Outputs {
@@ -99,11 +100,22 @@
         name: row.name.clone(),
         zone: row.zone,
         address: row.peers,
-        free: free(row),
+        free: row.free.clone(),
     };
     members.rows.iter().filter(usable).map(peer).collect()
 }
 
+/// VMs that can be an upstream's home.
+fn homes(members: &Members) -> Vec<announce::Home> {
+    let alive = |row: &&Member| row.standing == Standing::Alive;
+    let home = |row: &Member| announce::Home {
+        name: row.name.clone(),
+        zone: row.zone,
+        address: row.upstreams,
+    };
+    members.rows.iter().filter(alive).map(home).collect()
+}
+
 fn free(row: &Member) -> u32 {
     row.free
         .iter()
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -75,7 +75,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Rings {
     pub lookup: ring::Sender<lookup::Message>,
-    announce: ring::Sender<announce::Message>,
+    pub(super) announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
     pub slots: ring::Sender<slots::Message>,
     membership: ring::Sender<membership::Message>,
@@ -169,6 +169,7 @@
         let addresses = membership::Addresses {
             callers: open.callers.address,
             peers: open.peers.address,
+            upstreams: open.upstreams.address,
         };
         let outputs = outputs(context.vm.clone(), &rings, links.lease.clone(), feeds.seen);
         let members = membership::spawn(
--- a/src/forward/decide.rs
+++ b/src/forward/decide.rs
@@ -2,14 +2,26 @@
 
 use {
     super::{messages::Peer, state::State},
-    crate::keys::ZoneKey,
+    crate::keys::{ServiceKey, ZoneKey},
 };
 
-/// The peer of `zone` with the most free slots, less what is on its way there from here.
-pub(super) fn choose(state: &State, zone: ZoneKey) -> Option<Peer> {
+/// The peer of `zone` with the most free slots of `service`, less what is on its way there from
+/// here. Within the `own` zone only a peer with free slots will do: this VM has asked itself.
+pub(super) fn choose(
+    state: &State,
+    zone: ZoneKey,
+    service: ServiceKey,
+    own: ZoneKey,
+) -> Option<Peer> {
     let peers = state.rows.iter().filter(|(peer, _)| peer.zone == zone);
-    let best = peers.max_by_key(|(peer, inflight)| i64::from(peer.free) - i64::from(*inflight))?;
-    Some(best.0.clone())
+    let room = peers.map(|(peer, inflight)| (room(peer, service, *inflight), peer));
+    let (most, best) = room.max_by_key(|(room, _)| *room)?;
+    (zone != own || most > 0).then(|| best.clone())
+}
+
+fn room(peer: &Peer, service: ServiceKey, inflight: u32) -> i64 {
+    let free = peer.free.iter().find(|free| free.service == service);
+    free.map_or(0, |free| i64::from(free.slots)) - i64::from(inflight)
 }
 
 /// Counts a request to the peer of that name as in flight, or as ended.
--- a/src/forward/messages.rs
+++ b/src/forward/messages.rs
@@ -4,6 +4,7 @@
     crate::{
         call::{Call, Payload},
         keys::ZoneKey,
+        membership::messages::Free,
     },
     bytes::Bytes,
     serde::{Deserialize, Serialize},
@@ -19,8 +20,8 @@
     pub zone: ZoneKey,
     /// Address of its peer listener.
     pub address: SocketAddr,
-    /// Free slots that it last reported.
-    pub free: u32,
+    /// Free slots that it last reported, by service.
+    pub free: Vec<Free>,
 }
 
 /// What the duty is told.
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -14,7 +14,7 @@
         context::Context,
         fuzz,
         keys::{ServiceKey, ZoneKey},
-        membership::Lease,
+        membership::{Lease, messages::Free},
         ring,
         settings::topology::{Kind, Topology},
         slots,
@@ -27,12 +27,17 @@
         name: name.to_owned(),
         zone: ZoneKey(zone),
         address: "127.0.0.1:1".parse().unwrap(),
-        free,
+        free: vec![Free {
+            service: ServiceKey(0),
+            slots: free,
+        }],
     }
 }
 
 fn chosen(state: &State) -> String {
-    choose(state, ZoneKey(1)).unwrap().name
+    choose(state, ZoneKey(1), ServiceKey(0), ZoneKey(0))
+        .unwrap()
+        .name
 }
 
 #[test]
@@ -50,9 +55,22 @@
     assert_eq!(chosen(&state), "a");
 }
 
+#[test]
+fn peers_of_the_own_zone_are_asked_only_with_a_free_slot_of_the_service() {
+    let mut state = State::default();
+    state.replace(vec![peer("a", 1, 1), peer("b", 2, 0)]);
+    let own = |state: &State, zone, service| {
+        choose(state, ZoneKey(zone), ServiceKey(service), ZoneKey(zone)).is_some()
+    };
+    assert!(own(&state, 1, 0) && !own(&state, 1, 1) && !own(&state, 2, 0));
+    count(&mut state, "a", true);
+    assert!(!own(&state, 1, 0));
+    assert!(choose(&state, ZoneKey(1), ServiceKey(0), ZoneKey(2)).is_some());
+}
+
 #[test]
 fn a_zone_without_peers_has_none() {
-    assert!(choose(&State::default(), ZoneKey(1)).is_none());
+    assert!(choose(&State::default(), ZoneKey(1), ServiceKey(0), ZoneKey(0)).is_none());
 }
 
 #[test]
--- a/src/forward/thread.rs
+++ b/src/forward/thread.rs
@@ -90,12 +90,19 @@
 fn start(duty: &Rc<Duty>, mut call: Call) {
     let duty = Rc::clone(duty);
     tokio::task::spawn_local(async move {
-        let chosen = decide::choose(&duty.state.borrow(), call.meta.target);
-        let outcome = match chosen {
-            Some(peer) => duty.exchange(&peer, &mut call).await,
-            None => Err(Refusal::not_run(Reason::PeerUnreachable)),
-        };
-        duty.end(call, outcome);
+        let chosen = decide::choose(
+            &duty.state.borrow(),
+            call.meta.target,
+            call.meta.service,
+            duty.context.zone,
+        );
+        match chosen {
+            Some(peer) => {
+                let outcome = duty.exchange(&peer, &mut call).await;
+                duty.end(call, outcome);
+            }
+            None => duty.bring_back(call, Reason::PeerUnreachable),
+        }
     });
 }
 
@@ -168,15 +175,24 @@
         pool::connect(peer.address, limit).await.ok()
     }
 
+    /// Returns a request that did not run to the slots of this VM, once from its own zone.
+    fn bring_back(&self, mut call: Call, reason: Reason) {
+        if call.meta.target == self.context.zone {
+            call.meta.hops = 1;
+        } else {
+            self.context.metrics.retry(reason);
+        }
+        call.meta.target = self.context.zone;
+        // The slots duty never waits for this one, so there will be room.
+        let _ = self.slots.send(slots::Message::Place(call));
+    }
+
     /// Answers the caller, or brings a request that did not run back to its own zone.
     fn end(&self, mut call: Call, outcome: Outcome) {
         match outcome {
             Err(refusal) if refusal.ran == Ran::No => {
                 call.mark_unsent();
-                self.context.metrics.retry(refusal.reason);
-                call.meta.target = self.context.zone;
-                // The slots duty never waits for this one, so there will be room.
-                let _ = self.slots.send(slots::Message::Place(call));
+                self.bring_back(call, refusal.reason);
             }
             outcome => {
                 self.context.metrics.count("forwarded_out", 1);
--- a/src/membership/messages.rs
+++ b/src/membership/messages.rs
@@ -43,6 +43,8 @@
     pub callers: SocketAddr,
     /// Address of its peer listener.
     pub peers: SocketAddr,
+    /// Address of its upstream listener.
+    pub upstreams: SocketAddr,
     /// Rises with each restart and each refuted suspicion.
     pub incarnation: u64,
     /// Whether it serves.
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -47,6 +47,7 @@
         members: address(number),
         callers: address(number),
         peers: address(number),
+        upstreams: address(number),
         incarnation: 1_000,
         standing: Standing::Alive,
         beat: 1,
--- a/src/membership/thread.rs
+++ b/src/membership/thread.rs
@@ -69,6 +69,8 @@
     pub callers: SocketAddr,
     /// Peer listener.
     pub peers: SocketAddr,
+    /// Upstream listener.
+    pub upstreams: SocketAddr,
 }
 
 /// Starts the duty; it ends when its ring closes.
@@ -92,6 +94,7 @@
         members: bound.address,
         callers: addresses.callers,
         peers: addresses.peers,
+        upstreams: addresses.upstreams,
         incarnation: context.incarnation,
         standing: Standing::Suspect,
         beat: 0,
@@ -270,7 +273,7 @@
 fn free(rows: &[Status]) -> Vec<Free> {
     let mut sums: Vec<Free> = Vec::new();
     for row in rows.iter().filter(|row| row.open) {
-        let slots = row.limit.saturating_sub(row.taken);
+        let slots = row.limit.saturating_sub(row.taken + row.inherited);
         match sums.binary_search_by_key(&row.service, |free| free.service) {
             Ok(at) => sums[at].slots += slots,
             Err(at) => sums.insert(
--- a/src/slots/queue.rs
+++ b/src/slots/queue.rs
@@ -31,6 +31,12 @@
     Refuse(Refusal),
 }
 
+/// Whether the request would get a slot at once, or has no time for another VM.
+pub(super) fn has_room(state: &State, settings: Settings, request: &Request, now: Micros) -> bool {
+    let late = request.meta.deadline <= now;
+    late || (!is_outranked(state, request) && choose(state, settings, request, now).is_ok())
+}
+
 /// Gives a request a slot, a place in the queue or a refusal.
 pub(super) fn place(
     state: &mut State,
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -144,6 +144,12 @@
         };
         self.drop_cancelled(call.meta.service);
         let now = self.now();
+        let ask_peers = call.meta.hops == 0 && attempt == 1;
+        if ask_peers && !queue::has_room(&self.state, self.settings, &request, now) {
+            // Another VM of this zone may be the home of an upstream with a free slot.
+            self.forward(call);
+            return;
+        }
         let placed = queue::place(&mut self.state, self.settings, request, now);
         self.carry_out(call, placed);
     }
@@ -222,9 +228,16 @@
         call.meta.target != self.context.zone && call.meta.hops == 0
     }
 
-    fn forward(&self, call: Call) {
+    fn forward(&mut self, call: Call) {
         let message = forward::Message::Send(call);
-        if let Err(Rejected::Full(forward::Message::Send(call))) = self.out.forward.offer(message) {
+        let Err(Rejected::Full(forward::Message::Send(mut call))) = self.out.forward.offer(message)
+        else {
+            return;
+        };
+        if call.meta.target == self.context.zone {
+            call.meta.hops = 1;
+            self.place(call, 1, None);
+        } else {
             call.finish(Err(Refusal::not_run(Reason::RingFull)));
         }
     }
--- a/src/spread/tests.rs
+++ b/src/spread/tests.rs
@@ -41,6 +41,7 @@
         members: address,
         callers: address,
         peers: SocketAddr::from(([127, 0, 0, 1], u16::try_from(version).unwrap())),
+        upstreams: SocketAddr::from(([127, 0, 0, 1], u16::try_from(version).unwrap())),
         incarnation: 1,
         standing: Standing::Alive,
         beat: 0,
