Tell callers to close before a stop closes their connections

When the last request had its answer, the idle connections were closed at once, while its caller was sending the next request on one of them.

Answers of a stopping VM carry `connection: close`, and between the last answer and the end of the listeners 250 ms pass, in which whoever asks again is refused as not run. Ruled out: a request lost by a duty (in flight was zero, all answers complete).

A caller that is silent for all of the linger and sends in the very moment at the end still finds its connection closed; HTTP clients take that as not sent.

--- a/src/edge/listener.rs
+++ b/src/edge/listener.rs
@@ -340,6 +340,12 @@
         Ok(incoming) => (shared.handler)(incoming).await,
         Err(refusal) => refusal,
     };
+    // A caller that is told so sends nothing on a connection that is about to end.
+    let outgoing = if shared.context.stopping() {
+        closing(outgoing)
+    } else {
+        outgoing
+    };
     Ok(encode(outgoing))
 }
 
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -33,6 +33,8 @@
 };
 
 const STOP_POLL: Duration = Duration::from_millis(10);
+/// Time for which callers with open connections are told that this VM is stopping.
+const STOP_NOTICE: Duration = Duration::from_millis(250);
 const JOIN_LIMIT: Duration = Duration::from_secs(5);
 
 /// Why an entry VM could not start.
@@ -225,6 +227,9 @@
         thread::sleep(Duration::from_millis(self.settings.linger_ms));
         self.context.stop();
         self.await_work();
+        // Whoever got the last answers may be sending again on the same connection.
+        thread::sleep(STOP_NOTICE);
+        self.await_work();
         self.open.callers.join();
         self.open.upstreams.join();
         self.open.peers.join();
