--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,11 +19,14 @@
 // Duties of an entry VM.
 pub mod announce;
 pub mod callers;
+pub mod claims;
 pub mod drain;
 pub mod forward;
+pub mod ledger;
 pub mod lookup;
 pub mod membership;
 pub mod peers;
+pub mod poison;
 pub mod relay;
 pub mod shift;
 pub mod slots;
