--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -2,13 +2,14 @@
 
 use {
     super::{
+        encode::{self, RAN_HEADER, REQUEST_HEADER, header, is_relayed, request_name},
         messages::Failure,
         paths::{Path, Paths},
         pool::{self, Connection, Pool},
         settings::Settings,
     },
     crate::{
-        call::{Answer, Call, Header, Ran, Reason},
+        call::{Answer, Call, Ran, Reason},
         cancel,
         clock::Micros,
         context::Context,
@@ -16,9 +17,9 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{
-        Method, Request, Response,
+        Request, Response,
         body::{Body as _, Incoming as Body},
-        header::{HOST, HeaderName, HeaderValue, TRANSFER_ENCODING},
+        header::{HeaderValue, TRANSFER_ENCODING},
     },
     std::{
         cell::{Cell, RefCell},
@@ -30,33 +31,6 @@
     tokio::time,
 };
 
-/// Header by which an upstream says that it did not run a request: `no`.
-pub const RAN_HEADER: &str = "siskinstep-ran";
-/// Header that names the lease under which a request is sent.
-pub const HOLDER_HEADER: &str = "siskinstep-holder";
-/// Header that names the request; an upstream may send it back.
-pub const REQUEST_HEADER: &str = "siskinstep-request";
-/// Header that hands on the milliseconds left to the deadline.
-pub const DEADLINE_HEADER: &str = "deadline-ms";
-
-/// Headers that belong to one connection, or that the relay sets itself.
-const NOT_RELAYED: [&str; 14] = [
-    "connection",
-    "content-length",
-    "deadline-ms",
-    "host",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "siskinstep-holder",
-    "siskinstep-ran",
-    "siskinstep-request",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// What an attempt needs of its thread.
 #[derive(Clone)]
 pub(super) struct Tools {
@@ -131,7 +105,7 @@
     if left.is_zero() {
         return Err(not_run(Reason::DeadlineExceeded));
     }
-    let request = encode(tools, call, target, left)?;
+    let request = encode::request(tools, call, target, left)?;
     let heard = Cell::new(false);
     let naming = Naming {
         name: request_name(tools, call),
@@ -233,14 +207,6 @@
     Ok(())
 }
 
-fn request_name(tools: &Tools, call: &Call) -> String {
-    let context = &tools.context;
-    format!(
-        "{}-{:x}-{:x}",
-        context.vm, context.incarnation, call.meta.id.0
-    )
-}
-
 fn says_not_run(response: &Response<Body>) -> bool {
     let refused = response.status().as_u16() == 503;
     refused
@@ -274,59 +240,6 @@
     })
 }
 
-fn encode(
-    tools: &Tools,
-    call: &Call,
-    target: &Target,
-    left: Duration,
-) -> Result<Request<Full<Bytes>>, Failure> {
-    let malformed = || not_run(Reason::UnknownKind);
-    let method = Method::from_bytes(&call.payload.method).map_err(|_| malformed())?;
-    let uri = std::str::from_utf8(&call.payload.target).map_err(|_| malformed())?;
-    let request = Request::builder().method(method).uri(uri);
-    let mut request = request
-        .body(Full::new(call.payload.body.clone()))
-        .map_err(|_| malformed())?;
-    let headers = request.headers_mut();
-    for header in call
-        .payload
-        .headers
-        .iter()
-        .filter(|header| is_relayed(&header.name))
-    {
-        let name = HeaderName::from_bytes(&header.name);
-        let value = HeaderValue::from_maybe_shared(header.value.clone());
-        if let (Ok(name), Ok(value)) = (name, value) {
-            headers.append(name, value);
-        }
-    }
-    let own = [
-        (HOST.as_str(), target.address.to_string()),
-        (HOLDER_HEADER, target.holder.to_string()),
-        (REQUEST_HEADER, request_name(tools, call)),
-    ];
-    for (name, value) in own {
-        let value = HeaderValue::from_str(&value).map_err(|_| malformed())?;
-        headers.insert(HeaderName::from_static(name), value);
-    }
-    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    headers.insert(DEADLINE_HEADER, HeaderValue::from(left));
-    Ok(request)
-}
-
-fn is_relayed(name: &[u8]) -> bool {
-    NOT_RELAYED
-        .binary_search_by(|other| other.as_bytes().cmp(name))
-        .is_err()
-}
-
-fn header((name, value): (&HeaderName, &HeaderValue)) -> Header {
-    Header {
-        name: Bytes::copy_from_slice(name.as_str().as_bytes()),
-        value: Bytes::copy_from_slice(value.as_bytes()),
-    }
-}
-
 fn not_run(reason: Reason) -> Failure {
     Failure {
         reason,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Carries one attempt to an upstream and its complete answer back.
 
 mod attempt;
+mod encode;
 pub mod messages;
 mod paths;
 pub(crate) mod pool;
@@ -10,7 +11,7 @@
 mod thread;
 
 pub use {
-    attempt::{DEADLINE_HEADER, HOLDER_HEADER, RAN_HEADER, REQUEST_HEADER},
+    encode::{DEADLINE_HEADER, HOLDER_HEADER, RAN_HEADER, REQUEST_HEADER},
     messages::{Dispatch, Failure},
     settings::Settings,
     thread::spawn,
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod decide;
 pub mod messages;
+mod news;
 mod queue;
 pub mod settings;
 pub mod state;
--- a/src/slots/tests/fuzz.rs
+++ b/src/slots/tests/fuzz.rs
@@ -4,7 +4,8 @@
 
 use {
     super::super::{
-        decide::{fail, notice, settle, succeed},
+        decide::{fail, settle, succeed},
+        news::notice,
         queue::{Placed, place},
         settings::Settings,
         state::State,
--- a/src/slots/tests/mod.rs
+++ b/src/slots/tests/mod.rs
@@ -5,7 +5,8 @@
 
 use {
     super::{
-        decide::{Grant, apply_policy, fail, free, leaves_idle, may_retry, notice, pay, succeed},
+        decide::{Grant, fail, free, may_retry, pay, succeed},
+        news::{apply_policy, leaves_idle, notice},
         queue::{Placed, place},
         settings::Settings,
         state::{Request, State},
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -5,6 +5,7 @@
         choose, decide,
         decide::Grant,
         messages::{Message, Status},
+        news,
         queue::{self, Placed},
         settings::Settings,
         state::{Request, Row, State},
@@ -111,12 +112,12 @@
             } => self.done(flight, call, result),
             Message::Upstream(notice) => {
                 let now = self.now();
-                self.idle.extend(decide::leaves_idle(&self.state, &notice));
-                decide::notice(&mut self.state, self.settings, &self.policy, notice, now);
+                self.idle.extend(news::leaves_idle(&self.state, &notice));
+                news::notice(&mut self.state, self.settings, &self.policy, notice, now);
             }
             Message::Policy(policy) => {
                 let drained = announce::is_drained(&policy, &self.context);
-                decide::apply_policy(&mut self.state, &policy, drained);
+                news::apply_policy(&mut self.state, &policy, drained);
                 self.policy = policy;
                 self.told = None;
             }
@@ -289,7 +290,7 @@
 
     /// Tells the drain duty which upstreams get no new work, if that has changed.
     fn tell_drain(&mut self) {
-        let rows = self.state.rows.values().filter_map(decide::closing);
+        let rows = self.state.rows.values().filter_map(news::closing);
         let closing: Vec<Closing> = rows.chain(self.idle.iter().cloned()).collect();
         if self.told.as_ref() == Some(&closing) {
             return;
