Keep the counts of upstreams that are gone when a new one takes their place

Cause: slots kept its rows in a SecondaryMap, which holds one version of a place in the announce duty's arena. An upstream that joined pushed out the row of one that was gone and still ran requests; if that one came back in the same life, its count began at zero and it ran more than its slots.

Rows are a sorted vector by key and generation now. The new unit test was seen failing with an insert that pushes out the same place.

--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -6,6 +6,7 @@
 pub mod messages;
 mod news;
 mod queue;
+pub mod rows;
 pub mod settings;
 pub mod state;
 #[cfg(test)]
--- a/src/slots/state.rs
+++ b/src/slots/state.rs
@@ -1,7 +1,7 @@
 //! The slots of each upstream, the attempts that hold them and the requests that wait for one.
 
 use {
-    super::budget::Budget,
+    super::{budget::Budget, rows::Rows},
     crate::{
         announce::{Absence, Announcement},
         call::Meta,
@@ -9,7 +9,7 @@
         keys::{FlightKey, KindKey, ServiceKey, UpstreamKey, WaitKey},
         sorted::Sorted,
     },
-    slotmap::{SecondaryMap, SlotMap},
+    slotmap::SlotMap,
     std::sync::Arc,
 };
 
@@ -114,7 +114,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct State {
     /// Upstreams by the key that the announce duty gave.
-    pub rows: SecondaryMap<UpstreamKey, Row>,
+    pub rows: Rows,
     /// Attempts in flight.
     pub flights: SlotMap<FlightKey, Flight>,
     /// Services by key.
--- a/src/slots/tests/mod.rs
+++ b/src/slots/tests/mod.rs
@@ -266,6 +266,20 @@
     assert_eq!(home.state.rows.len(), 1);
 }
 
+#[test]
+fn a_new_upstream_pushes_out_none_that_still_runs_requests() {
+    let mut home = Home::default();
+    let first = home.join(said("u1", 1));
+    home.take().unwrap();
+    home.absent(first);
+    // The announce duty gives the next upstream the same place in its arena.
+    home.keys.remove(first);
+    home.join(said("u2", 1));
+    home.join(said("u1", 1));
+    home.take().unwrap();
+    assert_eq!(home.take().unwrap_err(), Reason::NoSlot);
+}
+
 #[test]
 fn a_report_of_load_only_lowers_the_limit_and_by_half_at_most() {
     let load = |load| Announcement {
