--- a/src/callers/handler.rs
+++ b/src/callers/handler.rs
@@ -11,7 +11,6 @@
         keys::RequestId,
         lookup::Table,
         membership::Lease,
-        ring::{Rejected, Sender},
         shift,
     },
     bytes::Bytes,
@@ -31,7 +30,7 @@
     /// Lease under which this VM serves.
     pub lease: Lease,
     /// Where requests go.
-    pub ring: Sender<shift::Message>,
+    pub router: shift::Router,
     /// Rankings of the look-up duty.
     pub tables: watch::Receiver<Arc<Table>>,
     /// Group of ledgers that idempotency keys are minted for.
@@ -124,11 +123,7 @@
         if !once {
             call = call.with_cancel(cancel);
         }
-        if let Err(Rejected::Full(shift::Message::Route(call))) =
-            self.front.ring.offer(shift::Message::Route(call))
-        {
-            call.finish(Err(Refusal::not_run(Reason::RingFull)));
-        }
+        self.front.router.route(call);
         rx.await.unwrap_or(Err(Refusal::unknown(Reason::Stopping)))
     }
 }
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         flags::{Siskinstep, SiskinstepCmd},
-        order,
+        load, order,
         render::{self, Format},
     },
     crate::{
@@ -11,6 +11,7 @@
         control, dev,
         edge::{Secret, outbound},
         entry,
+        load::{LoadError, Report},
         observe::events,
         operator::{Operator, OperatorError},
         policy::{Cap, Change, Command, Shift},
@@ -47,6 +48,10 @@
     #[snafu(display("{source}"), context(false))]
     Dev { source: dev::DevError },
     #[snafu(display("{source}"), context(false))]
+    Load { source: LoadError },
+    #[snafu(display("{source}"), context(false))]
+    Plan { source: load::PlanError },
+    #[snafu(display("{source}"), context(false))]
     Http { source: ureq::Error },
     #[snafu(display("runtime: {source}"))]
     Runtime { source: std::io::Error },
@@ -119,6 +124,11 @@
             print!("{}", events::table());
             Ok(())
         }
+        SiskinstepCmd::Load(verb) => {
+            let report = load::run(&load::plan(&verb)?)?;
+            render::print(session.format, &report, Report::text);
+            Ok(())
+        }
         SiskinstepCmd::Dev(verb) => Ok(dev::run(verb.once)?),
     }
 }
--- a/src/forward/receive.rs
+++ b/src/forward/receive.rs
@@ -10,7 +10,7 @@
         keys::RequestId,
         membership::Lease,
         ring::{Rejected, Sender},
-        slots,
+        shift, slots,
     },
     std::sync::atomic::{AtomicU64, Ordering},
     tokio::sync::oneshot,
@@ -24,6 +24,7 @@
     context: &Context,
     lease: &Lease,
     slots: &Sender<slots::Message>,
+    shift: &Sender<shift::Message>,
     body: &[u8],
 ) -> Outgoing {
     let Ok(forwarded) = postcard::from_bytes::<Forwarded>(body) else {
@@ -31,7 +32,7 @@
     };
     let _guard = context.enter();
     let outcome = if lease.holds(context.clock.now()) {
-        run(context, slots, forwarded).await
+        run(context, slots, shift, forwarded).await
     } else {
         Err(Refusal::not_run(Reason::NotJoined))
     };
@@ -43,13 +44,23 @@
     }
 }
 
-async fn run(context: &Context, slots: &Sender<slots::Message>, forwarded: Forwarded) -> Outcome {
+async fn run(
+    context: &Context,
+    slots: &Sender<slots::Message>,
+    shift: &Sender<shift::Message>,
+    forwarded: Forwarded,
+) -> Outcome {
     if context.stopping() {
         return Err(Refusal::not_run(Reason::Stopping));
     }
     let id = RequestId(NEXT.fetch_add(1, Ordering::Relaxed));
     let meta = encode::meta(context, id, context.clock.now(), &forwarded);
     let meta = meta.ok_or(Refusal::not_run(Reason::UnknownKind))?;
+    if meta.origin != context.zone {
+        let (service, zone) = (meta.service, meta.origin);
+        // Unnoted, its headroom stays taken until the lease ends.
+        let _ = shift.offer(shift::Message::Arrived { service, zone });
+    }
     let (tx, rx) = oneshot::channel();
     let reply = Box::new(move |outcome| drop(tx.send(outcome)));
     let mut call = Call::new(meta, forwarded.key, forwarded.payload, reply);
--- a/src/membership/thread.rs
+++ b/src/membership/thread.rs
@@ -67,10 +67,10 @@
 pub struct Addresses {
     /// Caller listener.
     pub callers: SocketAddr,
-    /// Peer listener.
-    pub peers: SocketAddr,
     /// Upstream listener.
     pub upstreams: SocketAddr,
+    /// Peer listener.
+    pub peers: SocketAddr,
 }
 
 /// Starts the duty; it ends when its ring closes.
@@ -93,8 +93,8 @@
         zone: context.zone,
         members: bound.address,
         callers: addresses.callers,
-        peers: addresses.peers,
         upstreams: addresses.upstreams,
+        peers: addresses.peers,
         incarnation: context.incarnation,
         standing: Standing::Suspect,
         beat: 0,
--- a/src/peers/handler.rs
+++ b/src/peers/handler.rs
@@ -7,7 +7,7 @@
         forward,
         membership::Lease,
         ring::Sender,
-        slots,
+        shift, slots,
     },
     jsonrpsee::RpcModule,
     std::rc::Rc,
@@ -21,6 +21,7 @@
     lease: Lease,
     module: RpcModule<()>,
     slots: Sender<slots::Message>,
+    shift: Sender<shift::Message>,
 ) -> Handler {
     let methods = rpc::handler(module);
     let context = Rc::new((context, lease));
@@ -28,9 +29,10 @@
         b"/rpc" => methods(incoming),
         b"/forward" => {
             let (context, slots) = (Rc::clone(&context), slots.clone());
+            let shift = shift.clone();
             Box::pin(async move {
                 let (context, lease) = &*context;
-                forward::receive(context, lease, &slots, &incoming.body).await
+                forward::receive(context, lease, &slots, &shift, &incoming.body).await
             })
         }
         _ => Box::pin(async { Outgoing::refusal(404, "unknown_path") }),
