--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -114,7 +114,7 @@
         name: row.name.clone(),
         zone: row.zone,
         address: row.peers,
-        free: free(row),
+        free: row.free.clone(),
     };
     members.rows.iter().filter(usable).map(peer).collect()
 }
--- a/src/membership/thread.rs
+++ b/src/membership/thread.rs
@@ -273,7 +273,7 @@
 fn free(rows: &[Status]) -> Vec<Free> {
     let mut sums: Vec<Free> = Vec::new();
     for row in rows.iter().filter(|row| row.open) {
-        let slots = row.limit.saturating_sub(row.taken);
+        let slots = row.limit.saturating_sub(row.taken + row.inherited);
         match sums.binary_search_by_key(&row.service, |free| free.service) {
             Ok(at) => sums[at].slots += slots,
             Err(at) => sums.insert(
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -4,7 +4,9 @@
 mod choose;
 mod decide;
 pub mod messages;
+mod news;
 mod queue;
+pub mod rows;
 pub mod settings;
 pub mod state;
 #[cfg(test)]
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -5,6 +5,7 @@
         choose, decide,
         decide::Grant,
         messages::{Message, Status},
+        news,
         queue::{self, Placed},
         settings::Settings,
         state::{Request, Row, State},
@@ -111,12 +112,12 @@
             } => self.done(flight, call, result),
             Message::Upstream(notice) => {
                 let now = self.now();
-                self.idle.extend(decide::leaves_idle(&self.state, &notice));
-                decide::notice(&mut self.state, self.settings, &self.policy, notice, now);
+                self.idle.extend(news::leaves_idle(&self.state, &notice));
+                news::notice(&mut self.state, self.settings, &self.policy, notice, now);
             }
             Message::Policy(policy) => {
                 let drained = announce::is_drained(&policy, &self.context);
-                decide::apply_policy(&mut self.state, &policy, drained);
+                news::apply_policy(&mut self.state, &policy, drained);
                 self.policy = policy;
                 self.told = None;
             }
@@ -148,6 +149,12 @@
         };
         self.drop_cancelled(call.meta.service);
         let now = self.now();
+        let ask_peers = call.meta.hops == 0 && attempt == 1;
+        if ask_peers && !queue::has_room(&self.state, self.settings, &request, now) {
+            // Another VM of this zone may be the home of an upstream with a free slot.
+            self.forward(call);
+            return;
+        }
         let placed = queue::place(&mut self.state, self.settings, request, now);
         self.carry_out(call, placed);
     }
@@ -226,9 +233,16 @@
         call.meta.target != self.context.zone && call.meta.hops == 0
     }
 
-    fn forward(&self, call: Call) {
+    fn forward(&mut self, call: Call) {
         let message = forward::Message::Send(call);
-        if let Err(Rejected::Full(forward::Message::Send(call))) = self.out.forward.offer(message) {
+        let Err(Rejected::Full(forward::Message::Send(mut call))) = self.out.forward.offer(message)
+        else {
+            return;
+        };
+        if call.meta.target == self.context.zone {
+            call.meta.hops = 1;
+            self.place(call, 1, None);
+        } else {
             call.finish(Err(Refusal::not_run(Reason::RingFull)));
         }
     }
@@ -276,7 +290,7 @@
 
     /// Tells the drain duty which upstreams get no new work, if that has changed.
     fn tell_drain(&mut self) {
-        let rows = self.state.rows.values().filter_map(decide::closing);
+        let rows = self.state.rows.values().filter_map(news::closing);
         let closing: Vec<Closing> = rows.chain(self.idle.iter().cloned()).collect();
         if self.told.as_ref() == Some(&closing) {
             return;
