--- a/src/membership/decide/own.rs
+++ b/src/membership/decide/own.rs
@@ -27,6 +27,8 @@
     state.own.beat = 0;
     state.own.standing = state.own.standing.max(Standing::Suspect);
     state.joined = false;
+    // The configuration may have moved on meanwhile.
+    state.ready = false;
     state.since = now;
     state.fence = state.sequence;
     state.page.clear();
--- a/src/membership/messages.rs
+++ b/src/membership/messages.rs
@@ -84,7 +84,7 @@
 /// What the duty is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Message {
-    /// Version in force on this VM; from the first one on, it has one to serve under.
+    /// Version in force on this VM, after news were asked for; it may be served under.
     Version(u64),
     /// This VM is shutting down.
     Leaving,
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -95,7 +95,7 @@
     pub fence: u64,
     /// Whether an acknowledgement has come since, or nobody is there to send one.
     pub joined: bool,
-    /// Whether this VM knows a configuration that it may serve under.
+    /// Whether this VM has a configuration to serve under, and has asked for news since a freeze.
     pub ready: bool,
     /// Name after which the next page of members starts.
     pub page: String,
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -89,6 +89,10 @@
     assert!(!decide::serves(&state));
     decide::set_version(&mut state, 0);
     assert!(decide::serves(&state));
+    // Nor after a freeze, before news were asked for.
+    decide::tick(&mut state, NOW.plus_millis(60_000), 1);
+    decide::tick(&mut state, NOW.plus_millis(60_100), 1);
+    assert!(state.joined && !decide::serves(&state));
 }
 
 #[test]
@@ -147,6 +151,8 @@
     let ack = |sequence, probe| datagram(member(1, 0), sequence, Kind::Ack(probe));
     decide::receive(&mut state, ack(1, sequence), address(1), later).unwrap();
     assert!(!decide::serves(&state));
+    decide::set_version(&mut state, 8);
+    assert!(!decide::serves(&state));
     let latest = state.sequence;
     decide::receive(&mut state, ack(2, latest), address(1), later).unwrap();
     assert!(decide::serves(&state));
--- a/src/membership/tests/net.rs
+++ b/src/membership/tests/net.rs
@@ -153,6 +153,8 @@
         if lapsed {
             assert!(!decide::serves(&node.state), "served under a lapsed lease");
             assert!(node.state.own.incarnation > before);
+            decide::set_version(&mut node.state, 7);
+            assert!(!decide::serves(&node.state), "served before it joined");
         }
         self.send(at, out);
         for (from, bytes) in std::mem::take(&mut self.nodes[at].inbox) {
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -3,6 +3,7 @@
 //! Two VMs of each zone ask control, the others ask these two. A VM that starts without a disk
 //! asks its zone first, so that it never serves under an older version than its peers.
 
+mod ask;
 mod decide;
 mod disk;
 mod fleet;
--- a/src/spread/thread.rs
+++ b/src/spread/thread.rs
@@ -2,15 +2,14 @@
 
 use {
     super::{
-        decide::{self, Sources, Step},
+        decide::{self, Sources},
         disk::Disk,
-        messages::{Fetch, Fetched, Subscribers},
-        serve::FETCH,
+        messages::Subscribers,
         settings::Settings,
     },
     crate::{
         context::Context,
-        edge::{Secret, client::Client},
+        edge::Secret,
         membership::messages::Seen,
         observe::{Event, report},
         policy::Policy,
@@ -23,7 +22,7 @@
 };
 
 /// Time for an answer beyond the time it may be held back.
-const ANSWER_MARGIN: Duration = Duration::from_secs(1);
+pub(super) const ANSWER_MARGIN: Duration = Duration::from_secs(1);
 const START_POLL: Duration = Duration::from_millis(50);
 
 /// What the duty is wired to.
@@ -76,15 +75,15 @@
         .spawn(run)
 }
 
-struct Duty {
-    context: Context,
-    settings: Settings,
-    secret: Secret,
-    wires: Wires,
-    current: Arc<Policy>,
-    disk: Option<Disk>,
-    polls: usize,
-    started: bool,
+pub(super) struct Duty {
+    pub context: Context,
+    pub settings: Settings,
+    pub secret: Secret,
+    pub wires: Wires,
+    pub current: Arc<Policy>,
+    pub disk: Option<Disk>,
+    pub polls: usize,
+    pub started: bool,
 }
 
 impl Duty {
@@ -165,6 +164,8 @@
             let started = Instant::now();
             let answered = self.ask_first(&sources, hold).await;
             self.polls += 1;
+            // After a freeze this VM serves again once it has asked, or found nobody to ask.
+            self.wires.subscribers.serve(self.current.version);
             self.note_reachable(&sources, answered);
             if !answered {
                 self.wait(started + Duration::from_millis(self.settings.retry_ms))
@@ -234,86 +235,4 @@
             self.polls,
         )
     }
-
-    /// Asks one VM and acts on the answer; whether there was one.
-    async fn ask(&mut self, address: SocketAddr, hold: Duration) -> bool {
-        let Some(fetched) = self.fetch(address, hold, false).await else {
-            return false;
-        };
-        match decide::step(&self.current, fetched) {
-            Step::Same => {}
-            Step::Newer(policy) => self.adopt(policy),
-            Step::Mismatch => self.mend(address).await,
-        }
-        true
-    }
-
-    /// Two configurations of one version differ: control knows the right one.
-    async fn mend(&mut self, address: SocketAddr) {
-        self.context.metrics.count("config_mismatch", 1);
-        let version = self.current.version;
-        report(
-            Event::CONFIG_MISMATCH,
-            format_args!("version {version} here, {address}"),
-        );
-        for address in self.settings.control.clone() {
-            let Some(fetched) = self.fetch(address, Duration::ZERO, true).await else {
-                continue;
-            };
-            if let Step::Newer(policy) = decide::step(&self.current, fetched) {
-                self.adopt(policy);
-                return;
-            }
-        }
-        // Without control, try again in a while rather than at once.
-        time::sleep(Duration::from_millis(self.settings.retry_ms)).await;
-    }
-
-    async fn fetch(&self, address: SocketAddr, hold: Duration, full: bool) -> Option<Fetched> {
-        let client = Client::new(address, &self.secret, hold + ANSWER_MARGIN).ok()?;
-        let question = {
-            let members = self.wires.seen.borrow();
-            let zone = &self.context.topology.zones[usize::from(self.context.zone.0)].name;
-            let to_control = self.settings.control.contains(&address);
-            let reports = if to_control {
-                decide::reports(&members, (self.context.zone, zone))
-            } else {
-                Vec::new()
-            };
-            Fetch {
-                vm: self.context.vm.to_string(),
-                version: self.current.version,
-                hold_ms: u64::try_from(hold.as_millis()).unwrap_or(u64::MAX),
-                full,
-                reports,
-            }
-        };
-        client.call(FETCH, &question).await.ok()
-    }
-
-    fn adopt(&mut self, policy: Policy) {
-        if let Some(Err(error)) = self.disk.as_ref().map(|disk| disk.keep(&policy)) {
-            self.report_disk(&error);
-        }
-        self.put_in_force(policy);
-        // Before the start is over, the version may not be one to serve under.
-        if self.started {
-            self.wires.subscribers.serve(self.current.version);
-        }
-    }
-
-    fn put_in_force(&mut self, policy: Policy) {
-        let version = policy.version;
-        self.current = Arc::new(policy);
-        self.wires.subscribers.notify(&self.current);
-        self.wires.policies.send_replace(Arc::clone(&self.current));
-        let level = usize::try_from(version).unwrap_or(usize::MAX);
-        self.context.metrics.level("version", level);
-        report(Event::CONFIG_APPLIED, format_args!("version {version}"));
-    }
-
-    fn report_disk(&self, error: &io::Error) {
-        self.context.metrics.count("config_disk", 1);
-        report(Event::CONFIG_DISK, format_args!("{error}"));
-    }
 }
