--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -1,12 +1,14 @@
 //! Serves the metrics and the slots of this process.
 
 use {
-    super::explain,
+    super::{explain, poisoned},
     crate::{
         context::Context,
         drain::{self, Progress},
         edge::{Handler, Incoming, Outgoing},
+        poison,
         ring::Sender,
+        shift,
         slots::{self, Status},
     },
     serde_json::{Value, json},
@@ -23,8 +25,12 @@
     pub context: Context,
     /// Slot counts, on an entry VM.
     pub slots: Option<Sender<slots::Message>>,
+    /// Shifts as they are carried out, on an entry VM.
+    pub shift: Option<Sender<shift::Message>>,
     /// Progress of drains, on an entry VM.
     pub drain: Option<Sender<drain::Message>>,
+    /// Requests that crash upstreams, on an entry VM.
+    pub poison: Option<Sender<poison::Message>>,
     /// Messages that wait in each ring.
     pub depths: Depths,
 }
@@ -79,6 +85,10 @@
         match incoming.path() {
             b"/metrics" => self.metrics(),
             b"/status" => self.status().await,
+            b"/poison" if incoming.method == "GET" => poisoned::list(self.poison.as_ref()).await,
+            b"/poison/lift" if incoming.method == "POST" => {
+                poisoned::lift(self.poison.as_ref(), incoming)
+            }
             path if path.starts_with(EXPLAIN) => {
                 explain::serve(&self.context, &path[EXPLAIN.len()..]).await
             }
@@ -103,6 +113,7 @@
             "stopping": self.context.stopping(),
             "inflight": self.context.inflight(),
             "upstreams": rows,
+            "shifts": self.shifts().await,
             "drains": drains,
         });
         Outgoing::new(200, "application/json", body.to_string())
@@ -120,6 +131,18 @@
         rx.await.unwrap_or_default()
     }
 
+    async fn shifts(&self) -> Vec<shift::Status> {
+        let Some(shift) = &self.shift else {
+            return Vec::new();
+        };
+        let (tx, rx) = oneshot::channel();
+        let reply = Box::new(move |rows| drop(tx.send(rows)));
+        if shift.offer(shift::Message::Read(reply)).is_err() {
+            return Vec::new();
+        }
+        rx.await.unwrap_or_default()
+    }
+
     async fn drains(&self) -> Vec<Progress> {
         let Some(drain) = &self.drain else {
             return Vec::new();
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -2,19 +2,21 @@
 
 use {
     super::{
+        guards,
         links::{Links, links, outputs},
         settings::Settings,
     },
     crate::{
         admin, announce,
         callers::{self, Front},
+        claims,
         context::Context,
         drain,
         edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
         explain, forward, lookup,
         membership::{self, Lease},
         observe::{Event, report},
-        peers,
+        peers, poison,
         relay::{self, Dispatch},
         ring::{self, Inbox, Ring},
         shift, slots,
@@ -44,20 +46,20 @@
         /// Which and why.
         source: ListenError,
     },
+    /// Two RPC methods have one name.
+    #[snafu(display("{source}"), context(false))]
+    Register {
+        /// Which.
+        source: RegisterMethodError,
+    },
     /// A thread could not start.
-    #[snafu(display("thread {name}: {source}"))]
+    #[snafu(display("thread {name}: {source}"), visibility(pub(super)))]
     Thread {
         /// Name of the thread.
         name: &'static str,
         /// What the system said.
         source: io::Error,
     },
-    /// Two RPC methods have one name.
-    #[snafu(display("{source}"), context(false))]
-    Register {
-        /// Which.
-        source: RegisterMethodError,
-    },
 }
 
 /// An entry VM that runs.
@@ -77,10 +79,15 @@
     pub lookup: ring::Sender<lookup::Message>,
     pub announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
+    poison: ring::Sender<poison::Message>,
+    verdicts: watch::Receiver<Arc<poison::Verdicts>>,
+    claims: claims::Wires,
     pub slots: ring::Sender<slots::Message>,
     membership: ring::Sender<membership::Message>,
     explain: ring::Sender<explain::Message>,
     pub out: slots::Out,
+    pub peers: watch::Sender<Arc<Vec<forward::Peer>>>,
+    shifted: watch::Sender<shift::Shifted>,
 }
 
 /// The receiving end of each duty's ring.
@@ -88,6 +95,10 @@
     lookup: Ring<lookup::Message>,
     announce: Ring<announce::Message>,
     shift: Ring<shift::Message>,
+    claims: Ring<claims::Message>,
+    poison: Ring<poison::Message>,
+    verdicts: watch::Sender<Arc<poison::Verdicts>>,
+    ledgers: Inbox<claims::Broadcast>,
     slots: Ring<slots::Message>,
     explain: Ring<explain::Message>,
     drain: Ring<drain::Message>,
@@ -108,18 +119,32 @@
     let (lookup, lookup_end) = ring::bounded(capacity);
     let (announce, announce_end) = ring::bounded(capacity);
     let (shift, shift_end) = ring::bounded(capacity);
+    let (poison, poison_end) = ring::bounded(capacity);
+    let (verdicts_end, verdicts) = watch::channel(Arc::default());
+    let (claims, claims_end) = ring::bounded(capacity);
+    let (ledgers, ledgers_end) = ring::awaited(capacity);
     let (slots, slots_end) = ring::bounded(capacity);
     let (explain, explain_end) = ring::bounded(capacity);
     let (drain, drain_end) = ring::bounded(capacity);
     let (relay, relay_end) = ring::awaited(capacity);
     let (forward, forward_end) = ring::awaited(capacity);
+    let wires = claims::Wires {
+        claims,
+        ledgers,
+        slots: slots.clone(),
+    };
     let rings = Rings {
         lookup,
         announce,
         shift,
+        poison,
+        verdicts,
+        claims: wires,
         slots,
         membership,
         explain,
+        peers: watch::channel(Arc::default()).0,
+        shifted: watch::channel(Arc::default()).0,
         out: slots::Out {
             relay,
             forward,
@@ -130,6 +155,10 @@
         lookup: lookup_end,
         announce: announce_end,
         shift: shift_end,
+        claims: claims_end,
+        poison: poison_end,
+        verdicts: verdicts_end,
+        ledgers: ledgers_end,
         slots: slots_end,
         explain: explain_end,
         drain: drain_end,
@@ -165,7 +194,25 @@
             seen: links.seen.clone(),
         };
         threads.push(follow(&context, &settings, wires, secret, &mut stops)?);
-        let open = open(&context, &settings, &rings, &links, tables_seen, secret)?;
+        let ledger = guards::keep_ledger(&context, &settings, secret, &mut threads, &mut stops)?;
+        let mut module = guards::methods(ledger.as_ref(), &rings.poison)?;
+        spread::register(&mut module, links.source.clone())?;
+        shift::register(
+            &mut module,
+            context.clone(),
+            settings.shift,
+            rings.shift.clone(),
+            rings.slots.clone(),
+        )?;
+        let open = open(
+            &context,
+            &settings,
+            &rings,
+            &links,
+            tables_seen,
+            secret,
+            module,
+        )?;
         let addresses = membership::Addresses {
             callers: open.callers.address,
             upstreams: open.upstreams.address,
@@ -262,6 +309,15 @@
     }
 }
 
+/// The duties after the shift duty.
+fn onward(context: &Context, rings: &Rings) -> shift::Onward {
+    shift::Onward {
+        topology: Arc::clone(&context.topology),
+        claims: rings.claims.claims.clone(),
+        slots: rings.slots.clone(),
+    }
+}
+
 /// Starts the duties that only talk over rings and to upstreams or peers.
 fn duties(
     context: &Context,
@@ -281,14 +337,60 @@
     let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
     let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
     let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
-    let shift = shift::spawn(ends.shift, slots());
+    let claims = claims::spawn(
+        context.clone(),
+        settings.claims.clone(),
+        ends.claims,
+        rings.claims.clone(),
+        stop(),
+    );
+    let send = claims::send::spawn(
+        context.clone(),
+        settings.claims.clone(),
+        secret.clone(),
+        ends.ledgers,
+        rings.claims.claims.clone(),
+        stop(),
+    );
+    let shift = shift::spawn(
+        context.clone(),
+        settings.shift,
+        ends.shift,
+        onward(context, rings),
+        rings.shifted.clone(),
+    );
+    let sources = shift::Sources {
+        shift: rings.shift.clone(),
+        peers: rings.peers.subscribe(),
+    };
+    let headroom = shift::ask(
+        context.clone(),
+        settings.shift,
+        secret.clone(),
+        sources,
+        stop(),
+    );
     let placing = slots::spawn(
         context.clone(),
         settings.slots,
         ends.slots,
         rings.out.clone(),
     );
-    let relay = relay::spawn(context, settings.relay, ends.relay, slots(), stop());
+    let guard = poison::Guard {
+        topology: Arc::clone(&context.topology),
+        verdicts: rings.verdicts.clone(),
+        ring: rings.poison.clone(),
+    };
+    let relay = relay::spawn(context, settings.relay, ends.relay, slots(), guard, stop());
+    let poison = poison::spawn(
+        context.clone(),
+        settings.poison.clone(),
+        secret.clone(),
+        ends.poison,
+        ends.verdicts,
+        [stop(), stop()],
+    );
+    let [poison_send, poison] = poison.context(ThreadSnafu { name: "poison" })?;
     let forward = forward::spawn(
         context.clone(),
         settings.forward,
@@ -300,11 +402,16 @@
     let drain = drain::spawn(context.clone(), ends.drain);
     let explain = explain::spawn(settings.explain, ends.explain);
     Ok(vec![
+        poison_send,
+        poison,
         named("drain", drain)?,
         named("explain", explain)?,
         named("lookup", lookup)?,
         named("announce", announce)?,
         named("shift", shift)?,
+        named("claims", claims)?,
+        named("claims-send", send)?,
+        named("headroom", headroom)?,
         named("slots", placing)?,
         named("relay", relay)?,
         named("forward", forward)?,
@@ -342,11 +449,14 @@
     admin::Depths::new(move || {
         vec![
             ("ring_announce", rings.announce.depth()),
+            ("ring_claims", rings.claims.claims.depth()),
+            ("ring_claims_send", rings.claims.ledgers.depth()),
             ("ring_drain", rings.out.drain.depth()),
             ("ring_explain", rings.explain.depth()),
             ("ring_forward", rings.out.forward.depth()),
             ("ring_lookup", rings.lookup.depth()),
             ("ring_membership", rings.membership.depth()),
+            ("ring_poison", rings.poison.depth()),
             ("ring_relay", rings.out.relay.depth()),
             ("ring_shift", rings.shift.depth()),
             ("ring_slots", rings.slots.depth()),
@@ -362,6 +472,7 @@
     links: &Links,
     tables: watch::Receiver<Arc<lookup::Table>>,
     secret: &Secret,
+    module: RpcModule<()>,
 ) -> Result<Open, StartError> {
     let addresses = settings.listeners;
     let listen = |name, address, secret, make: Box<dyn FnOnce() -> Handler + Send>| {
@@ -373,27 +484,34 @@
         };
         edge::spawn(listener, context.clone(), make)
     };
+    let region = &context.topology.regions[usize::from(context.topology.region_of(context.zone).0)];
+    let router = shift::Router {
+        shift: rings.shift.clone(),
+        onward: onward(context, rings),
+        shifted: rings.shifted.subscribe(),
+    };
     let front = Front {
         context: context.clone(),
         lease: links.lease.clone(),
-        ring: rings.shift.clone(),
+        router,
         tables,
+        group: claims::home::own(&settings.claims.groups, region),
     };
     let (told, announce) = (context.clone(), rings.announce.clone());
     let (served, slots) = (context.clone(), rings.slots.clone());
-    // Duties add the methods that their like on other VMs call.
-    let mut module = RpcModule::new(());
-    spread::register(&mut module, links.source.clone())?;
     let lease = links.lease.clone();
+    let arrivals = rings.shift.clone();
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
+        shift: Some(rings.shift.clone()),
         drain: Some(rings.out.drain.clone()),
+        poison: Some(rings.poison.clone()),
         depths: depths(rings),
     };
     let callers = Box::new(move || callers::handler(front));
     let upstreams = Box::new(move || announce::handler(&told, announce));
-    let peers = Box::new(move || peers::handler(served, lease, module, slots));
+    let peers = Box::new(move || peers::handler(served, lease, module, slots, arrivals));
     let admin = Box::new(move || admin::handler(board));
     Ok(Open {
         callers: listen("callers", addresses.callers, None, callers)?,
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -115,12 +115,13 @@
             },
         };
         let bytes = postcard::to_stdvec(&forwarded).unwrap();
+        let (shift, _arrivals) = ring::bounded(1);
         let lease = Lease::default();
         lease.extend(Micros(u64::MAX));
         runtime.block_on(async {
             tokio::select! {
                 biased;
-                _ = receive(&context, &lease, &slots, &bytes) => panic!("nobody answers"),
+                _ = receive(&context, &lease, &slots, &shift, &bytes) => panic!("nobody answers"),
                 () = std::future::ready(()) => {}
             }
         });
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -48,6 +48,8 @@
     pub struct UpstreamKey;
     /// An attempt in flight, with a generation.
     pub struct FlightKey;
+    /// A shift's row in an arena, with a generation.
+    pub struct ShiftKey;
     /// A request that waits for a slot, with a generation.
     pub struct WaitKey;
     /// A member's row in an arena, with a generation.
@@ -55,3 +57,8 @@
     /// A claim's row in an arena, with a generation.
     pub struct ClaimKey;
 }
+
+new_key_type! {
+    /// One try to claim an idempotency key, with a generation.
+    pub struct TryKey;
+}
