--- a/src/entry/guards.rs
+++ b/src/entry/guards.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{
+        links::Links,
         settings::Settings,
         wiring::{StartError, ThreadSnafu},
     },
-    crate::{context::Context, edge::Secret, ledger, poison, ring},
+    crate::{context::Context, edge::Secret, ledger, poison, ring, spread},
     jsonrpsee::RpcModule,
     snafu::ResultExt,
     std::thread::JoinHandle,
@@ -40,8 +41,10 @@
 pub(super) fn methods(
     ledger: Option<&ring::Sender<ledger::Message>>,
     poison: &ring::Sender<poison::Message>,
+    links: &Links,
 ) -> Result<RpcModule<()>, StartError> {
     let mut module = RpcModule::new(());
+    spread::register(&mut module, links.source.clone())?;
     ledger::register(&mut module, ledger)?;
     poison::register(&mut module, poison)?;
     Ok(module)
--- a/src/forward/receive.rs
+++ b/src/forward/receive.rs
@@ -4,9 +4,11 @@
     super::{encode, messages::Forwarded},
     crate::{
         call::{Call, Outcome, Reason, Refusal},
+        cancel,
         context::Context,
         edge::Outgoing,
         keys::RequestId,
+        membership::Lease,
         ring::{Rejected, Sender},
         slots,
     },
@@ -18,12 +20,21 @@
 static NEXT: AtomicU64 = AtomicU64::new(1 << 63);
 
 /// Runs a forwarded request here and answers with its outcome.
-pub async fn receive(context: &Context, slots: &Sender<slots::Message>, body: &[u8]) -> Outgoing {
+pub async fn receive(
+    context: &Context,
+    lease: &Lease,
+    slots: &Sender<slots::Message>,
+    body: &[u8],
+) -> Outgoing {
     let Ok(forwarded) = postcard::from_bytes::<Forwarded>(body) else {
         return Outgoing::refusal(400, "malformed");
     };
     let _guard = context.enter();
-    let outcome = run(context, slots, forwarded).await;
+    let outcome = if lease.holds(context.clock.now()) {
+        run(context, slots, forwarded).await
+    } else {
+        Err(Refusal::not_run(Reason::NotJoined))
+    };
     context.metrics.count("forwarded_in", 1);
     match encode::outcome(&outcome) {
         Ok(bytes) => Outgoing::new(200, "application/octet-stream", bytes),
@@ -41,7 +52,12 @@
     let meta = meta.ok_or(Refusal::not_run(Reason::UnknownKind))?;
     let (tx, rx) = oneshot::channel();
     let reply = Box::new(move |outcome| drop(tx.send(outcome)));
-    let call = Call::new(meta, forwarded.key, forwarded.payload, reply);
+    let mut call = Call::new(meta, forwarded.key, forwarded.payload, reply);
+    // Dropped with this future when the peer closes the connection, as its caller has gone.
+    let (_guard, cancel) = cancel::pair();
+    if !context.topology.kind_row(meta.kind).once {
+        call = call.with_cancel(cancel);
+    }
     if let Err(Rejected::Full(slots::Message::Place(call))) =
         slots.offer(slots::Message::Place(call))
     {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod forward;
 pub mod ledger;
 pub mod lookup;
+pub mod membership;
 pub mod peers;
 pub mod poison;
 pub mod relay;
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -58,6 +58,14 @@
     DISK_BACK = 2009 Info "Data folder takes writes again", "None.";
     DISK_RENEWED = 2010 Info "This control VM starts again as a new disk", "None; it counts again once it has caught up.";
     NOT_KEPT = 2011 Warn "No `data_dir`: accepted configuration is lost when the process ends", "Set `data_dir`, except for a trial.";
+    MEMBER_UP = 2101 Info "Entry VM joined or came back", "None.";
+    MEMBER_DOWN = 2102 Warn "Entry VM evicted after it stopped answering", "Check the VM and its network.";
+    MEMBER_LEFT = 2103 Info "Entry VM is leaving", "None.";
+    MEMBER_FROZEN = 2104 Warn "This VM did not run for longer than its lease and joins again", "Find out what stopped the VM; it serves nothing until it has joined.";
+    MEMBER_NAME_TAKEN = 2105 Error "Another VM uses the name of this one", "Give each entry VM its own `vm`.";
+    CONFIG_MISMATCH = 2111 Error "Two configurations of one version differ", "None: fetched again from control. Report it if it repeats.";
+    CONFIG_FLOOR = 2112 Warn "Started without an answer of the zone or control", "Check seeds, control VMs and the network; the last known configuration serves.";
+    CONFIG_DISK = 2113 Warn "Configuration could not be kept on disk", "Check `data_dir`; peers hold the configuration too.";
     LEDGER_BLANK = 2201 Warn "Ledger has no memory and does not vote yet", "None on a first start; else see `docs/claims.md`, lost disk.";
     LEDGER_VOTES = 2202 Info "Ledger votes", "None.";
     LEDGER_FAILED = 2203 Error "Ledger's disk failed, it takes no more orders", "Replace the disk, then restart the VM.";
