--- a/src/claims/send.rs
+++ b/src/claims/send.rs
@@ -17,7 +17,7 @@
         },
         ring::{Inbox, Sender},
     },
-    std::{io, net::SocketAddr, rc::Rc, thread::JoinHandle, time::Duration},
+    std::{cell::Cell, io, net::SocketAddr, rc::Rc, thread::JoinHandle, time::Duration},
     tokio::{
         sync::{Semaphore, mpsc, oneshot},
         task::LocalSet,
@@ -35,6 +35,9 @@
 const CALLS: usize = 4;
 /// Calls for the end of a try, the first included; a claim is asked for once.
 const TRIES: u32 = 5;
+/// Time that a stop leaves for orders on their way.
+const LINGER: Duration = Duration::from_millis(300);
+const LINGER_POLL: Duration = Duration::from_millis(5);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
 struct Item {
@@ -49,6 +52,8 @@
     context: Context,
     claims: Sender<Message>,
     calls: Semaphore,
+    // Orders that are on their way, over all ledgers.
+    open: Rc<Cell<usize>>,
 }
 
 /// Starts the duty; answers go to `claims`. It ends when `stop` closes.
@@ -69,6 +74,7 @@
     let run = move || {
         LocalSet::new().block_on(&runtime, async {
             let limit = Duration::from_millis(settings.claim_ms);
+            let open = Rc::new(Cell::new(0_usize));
             let peer = |(ledger, address): (usize, &SocketAddr)| {
                 start(Peer {
                     ledger: u8::try_from(ledger).unwrap_or(u8::MAX),
@@ -76,6 +82,7 @@
                     context: context.clone(),
                     claims: claims.clone(),
                     calls: Semaphore::new(CALLS),
+                    open: Rc::clone(&open),
                 })
             };
             let groups = settings.groups.iter();
@@ -83,9 +90,11 @@
                 .map(|group| group.ledgers.iter().enumerate().map(peer).collect())
                 .collect();
             tokio::select! {
-                () = run(inbox, groups) => {}
+                () = run(inbox, groups, &open) => {}
                 _ = stop => {}
             }
+            // A release that is not sent would leave its key refused until it expires.
+            let _ = time::timeout(LINGER, finish(&open)).await;
         });
     };
     std::thread::Builder::new()
@@ -93,7 +102,18 @@
         .spawn(run)
 }
 
-async fn run(mut inbox: Inbox<Broadcast>, groups: Vec<Vec<mpsc::Sender<Item>>>) {
+/// Waits until no order is on its way.
+async fn finish(open: &Cell<usize>) {
+    while open.get() > 0 {
+        time::sleep(LINGER_POLL).await;
+    }
+}
+
+async fn run(
+    mut inbox: Inbox<Broadcast>,
+    groups: Vec<Vec<mpsc::Sender<Item>>>,
+    open: &Cell<usize>,
+) {
     while let Some(message) = inbox.recv().await {
         for queue in &groups[message.group] {
             let item = Item {
@@ -102,7 +122,9 @@
                 order: message.order.clone(),
             };
             // A ledger that is silent for so long fails its orders by their time limit.
-            let _ = queue.try_send(item);
+            if queue.try_send(item).is_ok() {
+                open.set(open.get() + 1);
+            }
         }
     }
 }
@@ -188,6 +210,7 @@
     }
 
     fn tell(&self, item: &Item, reply: Option<Reply>) {
+        self.open.set(self.open.get() - 1);
         let heard = Heard {
             ledger: self.ledger,
             phase: item.phase,
--- a/src/claims/settings.rs
+++ b/src/claims/settings.rs
@@ -60,7 +60,7 @@
             groups,
             claim_ms: section.number("claim_ms", base.claim_ms, 10..=LONGEST_CLAIM_MS),
             store_ms: section.number("store_ms", base.store_ms, 1..=60_000),
-            answer_bytes: section.size("answer_bytes", base.answer_bytes, 0..=1 << 20),
+            answer_bytes: section.size("answer_bytes", base.answer_bytes, 0..=1 << 18),
             pending: section.size("pending", base.pending, 1..=1 << 16),
         }
     }
--- a/src/claims/thread.rs
+++ b/src/claims/thread.rs
@@ -23,7 +23,7 @@
 
 /// Time between two looks for tries that have waited too long.
 const TICK: Duration = Duration::from_millis(10);
-const IDLE: Duration = Duration::from_secs(1);
+const IDLE: Duration = Duration::from_millis(250);
 
 /// What the duty is wired to.
 #[derive(Clone, Debug)]
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -81,6 +81,7 @@
     shift: ring::Sender<shift::Message>,
     poison: ring::Sender<poison::Message>,
     verdicts: watch::Receiver<Arc<poison::Verdicts>>,
+    seen: membership::messages::Seen,
     claims: claims::Wires,
     pub slots: ring::Sender<slots::Message>,
     membership: ring::Sender<membership::Message>,
@@ -113,7 +114,11 @@
     admin: Running,
 }
 
-fn rings(capacity: usize, membership: ring::Sender<membership::Message>) -> (Rings, Ends) {
+fn rings(
+    capacity: usize,
+    membership: ring::Sender<membership::Message>,
+    seen: membership::messages::Seen,
+) -> (Rings, Ends) {
     let (lookup, lookup_end) = ring::bounded(capacity);
     let (announce, announce_end) = ring::bounded(capacity);
     let (shift, shift_end) = ring::bounded(capacity);
@@ -137,6 +142,7 @@
         shift,
         poison,
         verdicts,
+        seen,
         claims: wires,
         slots,
         membership,
@@ -173,11 +179,11 @@
         let topology = Arc::new(settings.topology.clone());
         let mut context = Context::new(&settings.vm, settings.zone, topology);
         let (membership, membership_end) = ring::bounded(settings.ring);
-        let (rings, ends) = rings(settings.ring, membership);
+        let (links, feeds) = links();
+        let (rings, ends) = rings(settings.ring, membership, links.seen.clone());
         context.notes = Some(rings.explain.clone());
         let bound = membership::bind(settings.listeners.members);
         let bound = bound.context(ThreadSnafu { name: "membership" })?;
-        let (links, feeds) = links();
         let (tables, tables_seen) = watch::channel(Arc::default());
         let mut stops = Vec::new();
         let mut threads = duties(
@@ -345,8 +351,11 @@
     let relay = relay::spawn(context, settings.relay, ends.relay, slots(), guard, stop());
     let poison = poison::spawn(
         context.clone(),
-        settings.poison.clone(),
-        secret.clone(),
+        settings.poison,
+        poison::Wires {
+            secret: secret.clone(),
+            seen: rings.seen.clone(),
+        },
         ends.poison,
         ends.verdicts,
         [stop(), stop()],
--- a/src/poison/send.rs
+++ b/src/poison/send.rs
@@ -8,9 +8,10 @@
     crate::{
         context::Context,
         edge::{Secret, client::Client},
+        membership::messages::Seen,
         ring::Inbox,
     },
-    std::{io, net::SocketAddr, thread::JoinHandle, time::Duration},
+    std::{io, thread::JoinHandle, time::Duration},
     tokio::{sync::oneshot, task::LocalSet},
 };
 
@@ -27,7 +28,7 @@
 /// Starts the thread; it ends when the inbox or `stop` closes.
 pub(super) fn spawn(
     context: Context,
-    peers: Vec<SocketAddr>,
+    seen: Seen,
     secret: Secret,
     inbox: Inbox<News>,
     stop: oneshot::Receiver<()>,
@@ -36,11 +37,9 @@
         .enable_all()
         .build()?;
     let run = move || {
-        let clients = peers.iter().map(|at| Client::new(*at, &secret, CALL_LIMIT));
-        let clients = clients.filter_map(Result::ok).collect();
         LocalSet::new().block_on(&runtime, async {
             tokio::select! {
-                () = run(context, clients, inbox) => {}
+                () = run(context, seen, secret, inbox) => {}
                 _ = stop => {}
             }
         });
@@ -50,15 +49,24 @@
         .spawn(run)
 }
 
-async fn run(context: Context, clients: Vec<Client>, mut inbox: Inbox<News>) {
+async fn run(context: Context, seen: Seen, secret: Secret, mut inbox: Inbox<News>) {
     while let Some(news) = inbox.recv().await {
-        for client in &clients {
-            let (context, client) = (context.clone(), client.clone());
+        for client in peers(&context, &seen, &secret) {
+            let context = context.clone();
             tokio::task::spawn_local(async move { tell(&context, &client, news).await });
         }
     }
 }
 
+/// The other entry VMs of the availability zone, as the members know them now.
+fn peers(context: &Context, seen: &Seen, secret: &Secret) -> Vec<Client> {
+    let members = seen.borrow();
+    let rows = members.rows.iter();
+    let peers = rows.filter(|row| row.zone == context.zone && *row.name != *context.vm);
+    let clients = peers.map(|row| Client::new(row.peers, secret, CALL_LIMIT));
+    clients.filter_map(Result::ok).collect()
+}
+
 async fn tell(context: &Context, client: &Client, news: News) {
     for _ in 0..TRIES {
         let told: Result<(), _> = match news {
--- a/src/poison/settings.rs
+++ b/src/poison/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of the poison duty.
 
-use {crate::settings::section::Section, std::net::SocketAddr};
+use crate::settings::section::Section;
 
 /// Settings of the poison duty.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Lost upstreams after which a request is refused.
     pub losses: usize,
@@ -15,8 +15,6 @@
     pub watch_ms: u64,
     /// Requests charged at most; the oldest is forgotten first.
     pub charges: usize,
-    /// Peer listeners of the other entry VMs of this availability zone.
-    pub peers: Vec<SocketAddr>,
 }
 
 impl Default for Settings {
@@ -27,7 +25,6 @@
             burst_ms: 250,
             watch_ms: 2_000,
             charges: 1_024,
-            peers: Vec::new(),
         }
     }
 }
@@ -42,7 +39,6 @@
             burst_ms: section.number("burst_ms", base.burst_ms, 1..=60_000),
             watch_ms: section.number("watch_ms", base.watch_ms, 1..=60_000),
             charges: section.size("charges", base.charges, 1..=100_000),
-            peers: section.addresses("peers"),
         }
     }
 }
--- a/src/poison/thread.rs
+++ b/src/poison/thread.rs
@@ -14,6 +14,7 @@
         context::Context,
         edge::Secret,
         ledger::Fingerprint,
+        membership::messages::Seen,
         observe::{Event, report},
         ring::{self, Outbox, Ring, Wait},
     },
@@ -29,10 +30,19 @@
 
 /// Time between two looks at what is out of date, and at upstreams with a cut connection.
 const TICK: Duration = Duration::from_millis(100);
-const IDLE: Duration = Duration::from_secs(1);
+const IDLE: Duration = Duration::from_millis(250);
 const PROBE_LIMIT: Duration = Duration::from_millis(50);
 const NEWS: usize = 1_024;
 
+/// How the duty reaches its peers.
+#[derive(Debug)]
+pub struct Wires {
+    /// Secret of the peer listeners.
+    pub secret: Secret,
+    /// The latest members.
+    pub seen: Seen,
+}
+
 /// Starts the duty and the thread that tells its peers. Both end when `stops` close.
 ///
 /// # Errors
@@ -40,15 +50,15 @@
 pub fn spawn(
     context: Context,
     settings: Settings,
-    secret: Secret,
+    wires: Wires,
     ring: Ring<Message>,
     verdicts: watch::Sender<Arc<Verdicts>>,
     stops: [oneshot::Receiver<()>; 2],
 ) -> io::Result<[JoinHandle<()>; 2]> {
     let (out, inbox) = ring::awaited(NEWS);
     let [stop_send, stop] = stops;
-    let peers = settings.peers.clone();
-    let sending = send::spawn(context.clone(), peers, secret, inbox, stop_send)?;
+    let Wires { secret, seen } = wires;
+    let sending = send::spawn(context.clone(), seen, secret, inbox, stop_send)?;
     let duty = Duty {
         context,
         settings,
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -28,16 +28,17 @@
 
 fn start(fault: &Fault) -> World {
     let fleet = Fleet::new();
-    let peers = [(); VMS].map(|()| free_address());
+    let members = [(); VMS].map(|()| free_address());
     let (mut callers, mut admin, mut fakes) = (Vec::new(), Vec::new(), Vec::new());
     let mut processes = Vec::new();
     for at in 0..VMS {
         let [caller, upstreams, operator] = [(); 3].map(|()| free_address());
         let mut row = fleet.settings(&format!("entry-{at}"), "derwent-a");
         row["listeners"] = json!({
-            "callers": caller, "upstreams": upstreams, "peers": peers[at], "admin": operator,
+            "callers": caller, "upstreams": upstreams, "admin": operator,
+            "peers": free_address(), "members": members[at],
         });
-        row["poison"] = json!({"peers": [peers[1 - at]]});
+        row["membership"] = json!({"seeds": members});
         processes.push(fleet.start(ENTRY, &row));
         for upstream in 0..EACH {
             let name = format!("u{at}{upstream}");
@@ -59,6 +60,9 @@
         eventually("the entry VM serves", || {
             (world.ask(at, "warm").0 == 200).then_some(())
         });
+        eventually("the VMs know each other", || {
+            (world.members(at) == VMS).then_some(())
+        });
     }
     world
 }
@@ -72,6 +76,14 @@
         (status, answer.body_mut().read_to_string().unwrap())
     }
 
+    fn members(&self, at: usize) -> usize {
+        let agent = outbound::agent(Duration::from_secs(5));
+        let answer = agent.get(format!("http://{}/v1/lookup", self.callers[at]));
+        let text = answer.call().unwrap().body_mut().read_to_string().unwrap();
+        let value: Value = serde_json::from_str(&text).unwrap();
+        value["vms"].as_array().unwrap().len()
+    }
+
     fn listed(&self, at: usize) -> Vec<Value> {
         let agent = outbound::agent(Duration::from_secs(5));
         let answer = agent.get(format!("http://{}/poison", self.admin[at]));
