--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -54,7 +54,7 @@
         vms.push(Vm {
             callers,
             admin,
-            log: folder.join("ledger.log"),
+            log: folder.join("ledger/ledger.log"),
             _process: fleet.start(ENTRY, &row),
         });
         for service in ["cellwatch", "swapdesk"] {
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -64,7 +64,6 @@
     ring: ring::Sender<agree::Message>,
     threads: Vec<JoinHandle<()>>,
     // News always reach a control VM; what they are is for the agree duty to say.
-    _fresh: watch::Sender<bool>,
 }
 
 impl Control {
@@ -77,10 +76,12 @@
         let context = Context::new(&settings.vm, settings.zone, topology);
         let (agree, agree_ring) = ring::bounded(settings.ring);
         let (policies, policies_seen) = watch::channel(Arc::default());
+        let (fresh_in, fresh) = watch::channel(true);
         let replica = Replica {
             ring: agree_ring,
             sender: agree.clone(),
             policies,
+            fresh: fresh_in,
         };
         let threads = start_replica(settings, &context, secret, replica)?;
         let listeners = settings.listeners;
@@ -98,7 +99,6 @@
         )?;
         let mut module = RpcModule::new(());
         agree::transport::register(&mut module, agree.clone())?;
-        let (fresh_in, fresh) = watch::channel(true);
         let source = Source {
             policies: policies_seen,
             fresh,
@@ -116,6 +116,7 @@
         let board = admin::Board {
             context: context.clone(),
             slots: None,
+            shift: None,
             drain: None,
             poison: None,
             depths: admin::Depths::default(),
@@ -136,10 +137,15 @@
             admin,
             ring: agree,
             threads,
-            _fresh: fresh_in,
         })
     }
 
+    /// Context of the process, with its metrics.
+    #[must_use]
+    pub fn context(&self) -> &Context {
+        &self.context
+    }
+
     /// Address of the operators' listener.
     #[must_use]
     pub fn operators(&self) -> SocketAddr {
@@ -180,6 +186,7 @@
     ring: ring::Ring<agree::Message>,
     sender: ring::Sender<agree::Message>,
     policies: watch::Sender<Arc<Policy>>,
+    fresh: watch::Sender<bool>,
 }
 
 /// Starts the threads of the data folder, of the peers' messages and of the decisions.
@@ -213,6 +220,7 @@
         storage,
         peers,
         policies: replica.policies,
+        fresh: replica.fresh,
     };
     let decider = agree::spawn(context.clone(), setup, replica.ring, outlets);
     let decider = decider.context(ThreadSnafu { name: "agree" })?;
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -77,7 +77,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Rings {
     pub lookup: ring::Sender<lookup::Message>,
-    announce: ring::Sender<announce::Message>,
+    pub announce: ring::Sender<announce::Message>,
     shift: ring::Sender<shift::Message>,
     poison: ring::Sender<poison::Message>,
     verdicts: watch::Receiver<Arc<poison::Verdicts>>,
@@ -87,6 +87,8 @@
     membership: ring::Sender<membership::Message>,
     explain: ring::Sender<explain::Message>,
     pub out: slots::Out,
+    pub peers: watch::Sender<Arc<Vec<forward::Peer>>>,
+    shifted: watch::Sender<shift::Shifted>,
 }
 
 /// The receiving end of each duty's ring.
@@ -147,6 +149,8 @@
         slots,
         membership,
         explain,
+        peers: watch::channel(Arc::default()).0,
+        shifted: watch::channel(Arc::default()).0,
         out: slots::Out {
             relay,
             forward,
@@ -197,7 +201,14 @@
         };
         threads.push(follow(&context, &settings, wires, secret, &mut stops)?);
         let ledger = guards::keep_ledger(&context, &settings, secret, &mut threads, &mut stops)?;
-        let module = guards::methods(ledger.as_ref(), &rings.poison, &links)?;
+        let mut module = guards::methods(ledger.as_ref(), &rings.poison, &links)?;
+        shift::register(
+            &mut module,
+            context.clone(),
+            settings.shift,
+            rings.shift.clone(),
+            rings.slots.clone(),
+        )?;
         let open = open(
             &context,
             &settings,
@@ -209,6 +220,7 @@
         )?;
         let addresses = membership::Addresses {
             callers: open.callers.address,
+            upstreams: open.upstreams.address,
             peers: open.peers.address,
         };
         let outputs = outputs(context.vm.clone(), &rings, links.lease.clone(), feeds.seen);
@@ -302,6 +314,15 @@
     }
 }
 
+/// The duties after the shift duty.
+fn onward(context: &Context, rings: &Rings) -> shift::Onward {
+    shift::Onward {
+        topology: Arc::clone(&context.topology),
+        claims: rings.claims.claims.clone(),
+        slots: rings.slots.clone(),
+    }
+}
+
 /// Starts the duties that only talk over rings and to upstreams or peers.
 fn duties(
     context: &Context,
@@ -321,7 +342,6 @@
     let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
     let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
     let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
-    let shift = shift::spawn(ends.shift, rings.claims.claims.clone());
     let claims = claims::spawn(
         context.clone(),
         settings.claims.clone(),
@@ -337,6 +357,24 @@
         rings.claims.claims.clone(),
         stop(),
     );
+    let shift = shift::spawn(
+        context.clone(),
+        settings.shift,
+        ends.shift,
+        onward(context, rings),
+        rings.shifted.clone(),
+    );
+    let sources = shift::Sources {
+        shift: rings.shift.clone(),
+        peers: rings.peers.subscribe(),
+    };
+    let headroom = shift::ask(
+        context.clone(),
+        settings.shift,
+        secret.clone(),
+        sources,
+        stop(),
+    );
     let placing = slots::spawn(
         context.clone(),
         settings.slots,
@@ -381,6 +419,7 @@
         named("shift", shift)?,
         named("claims", claims)?,
         named("claims-send", send)?,
+        named("headroom", headroom)?,
         named("slots", placing)?,
         named("relay", relay)?,
         named("forward", forward)?,
@@ -424,6 +463,7 @@
             ("ring_explain", rings.explain.depth()),
             ("ring_forward", rings.out.forward.depth()),
             ("ring_lookup", rings.lookup.depth()),
+            ("ring_membership", rings.membership.depth()),
             ("ring_poison", rings.poison.depth()),
             ("ring_relay", rings.out.relay.depth()),
             ("ring_shift", rings.shift.depth()),
@@ -453,26 +493,33 @@
         edge::spawn(listener, context.clone(), make)
     };
     let region = &context.topology.regions[usize::from(context.topology.region_of(context.zone).0)];
+    let router = shift::Router {
+        shift: rings.shift.clone(),
+        onward: onward(context, rings),
+        shifted: rings.shifted.subscribe(),
+    };
     let front = Front {
         context: context.clone(),
         lease: links.lease.clone(),
-        ring: rings.shift.clone(),
+        router,
         tables,
         group: claims::home::own(&settings.claims.groups, region),
     };
     let (told, announce) = (context.clone(), rings.announce.clone());
     let (served, slots) = (context.clone(), rings.slots.clone());
     let lease = links.lease.clone();
+    let arrivals = rings.shift.clone();
     let board = admin::Board {
         context: context.clone(),
         slots: Some(rings.slots.clone()),
+        shift: Some(rings.shift.clone()),
         drain: Some(rings.out.drain.clone()),
         poison: Some(rings.poison.clone()),
         depths: depths(rings),
     };
     let callers = Box::new(move || callers::handler(front));
     let upstreams = Box::new(move || announce::handler(&told, announce));
-    let peers = Box::new(move || peers::handler(served, lease, module, slots));
+    let peers = Box::new(move || peers::handler(served, lease, module, slots, arrivals));
     let admin = Box::new(move || admin::handler(board));
     Ok(Open {
         callers: listen("callers", addresses.callers, None, callers)?,
--- a/src/ledger/disk.rs
+++ b/src/ledger/disk.rs
@@ -15,6 +15,7 @@
 
 const FILE: &str = "ledger.log";
 const NEW_FILE: &str = "ledger.new";
+const LOCK_FILE: &str = "lock";
 const DAMAGED_FILE: &str = "ledger.damaged";
 /// Length below which the file is not rewritten, in bytes.
 const SMALL_BYTES: usize = 4 << 20;
@@ -30,6 +31,7 @@
     pending: Vec<u8>,
     /// Syncs made.
     pub(super) syncs: u64,
+    _lock: File,
 }
 
 /// What opening the file brought.
@@ -44,6 +46,7 @@
 /// Opens the file under `folder`, cuts a torn tail, or starts a new one as `blank` says.
 pub(super) fn open(folder: &Path, blank: Status) -> io::Result<Opened> {
     fs::create_dir_all(folder)?;
+    let lock = lock(folder)?;
     let path = folder.join(FILE);
     let bytes = match fs::read(&path) {
         Ok(bytes) => bytes,
@@ -62,6 +65,7 @@
             length: recovered.length,
             pending: Vec::new(),
             syncs: 0,
+            _lock: lock,
         };
         let book = replay(recovered.records);
         return Ok(Opened {
@@ -82,6 +86,7 @@
         length,
         pending: Vec::new(),
         syncs: 0,
+        _lock: lock,
     };
     Ok(Opened {
         disk,
@@ -90,6 +95,13 @@
     })
 }
 
+/// Keeps a second process from the file; the system lifts it at the end of this one.
+fn lock(folder: &Path) -> io::Result<File> {
+    let lock = File::create(folder.join(LOCK_FILE))?;
+    lock.try_lock().map_err(io::Error::from)?;
+    Ok(lock)
+}
+
 fn replay(records: Vec<Record>) -> Book {
     let mut book = Book::new(Status::default());
     for record in records {
--- a/src/shift/thread.rs
+++ b/src/shift/thread.rs
@@ -1,36 +1,113 @@
 //! The thread of the shift duty.
 
 use {
-    super::messages::Message,
-    crate::{
-        call::{Reason, Refusal},
-        claims,
-        ring::{Rejected, Ring, Sender},
+    super::{
+        decide, grant,
+        messages::{Message, Status},
+        router::{Onward, Shifted},
+        settings::Settings,
+        state::{Row, State},
     },
-    std::{io, thread::JoinHandle},
+    crate::{call::Call, context::Context, explain::Step, ring::Ring},
+    std::{io, sync::Arc, thread::JoinHandle},
+    tokio::sync::watch,
 };
 
-/// Starts the duty; requests go on to `claims`.
+/// Starts the duty; requests go on through `onward`, and the services that it wants to see out through
+/// `shifted`.
 ///
 /// # Errors
 /// The thread cannot start.
-pub fn spawn(ring: Ring<Message>, claims: Sender<claims::Message>) -> io::Result<JoinHandle<()>> {
+pub fn spawn(
+    context: Context,
+    settings: Settings,
+    ring: Ring<Message>,
+    onward: Onward,
+    shifted: watch::Sender<Shifted>,
+) -> io::Result<JoinHandle<()>> {
+    let duty = Duty {
+        context,
+        settings,
+        onward,
+        shifted,
+        state: State::default(),
+    };
     std::thread::Builder::new()
         .name("shift".to_owned())
-        .spawn(move || run(&ring, &claims))
+        .spawn(move || duty.run(&ring))
 }
 
-fn run(ring: &Ring<Message>, claims: &Sender<claims::Message>) {
-    while let Some(message) = ring.recv() {
+struct Duty {
+    context: Context,
+    settings: Settings,
+    onward: Onward,
+    shifted: watch::Sender<Shifted>,
+    state: State,
+}
+
+impl Duty {
+    fn run(mut self, ring: &Ring<Message>) {
+        while let Some(message) = ring.recv() {
+            self.handle(message);
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        let now = self.context.clock.now();
         match message {
-            Message::Route(call) => {
-                if let Err(Rejected::Full(claims::Message::Place(call))) =
-                    claims.offer(claims::Message::Place(call))
-                {
-                    call.finish(Err(Refusal::not_run(Reason::RingFull)));
-                }
+            Message::Route(call) => self.route(call),
+            Message::Policy(policy) => {
+                let topology = &self.context.topology;
+                decide::apply(&mut self.state, &policy, topology, self.settings, now);
+                let shifted = decide::shifted(&self.state, self.context.zone);
+                self.shifted.send_replace(Arc::new(shifted));
+            }
+            Message::Hold(held) => decide::hold(&mut self.state, held, now),
+            Message::Grant(ask, reply) => {
+                reply(grant::grant(&mut self.state, ask, self.settings, now));
+            }
+            Message::Arrived { service, zone } => {
+                grant::arrive(&mut self.state, service, zone, now);
+            }
+            Message::Wanted(reply) => {
+                reply(decide::wanted(&mut self.state, self.context.zone, now));
             }
-            Message::Policy(_) => {}
+            Message::Read(reply) => reply(self.statuses()),
+        }
+    }
+
+    /// Sends the request on; `slots` hands one for another zone to `forward`, and serves here one
+    /// that comes back not run.
+    fn route(&mut self, mut call: Call) {
+        let now = self.context.clock.now();
+        let entered_here = call.meta.hops == 0 && call.meta.target == self.context.zone;
+        if entered_here
+            && let Some(chosen) = decide::route(&mut self.state, &call.meta, self.settings, now)
+        {
+            let target = chosen.zone;
+            call.meta.target = target;
+            self.context.note(call.meta.id, Step::Shifted { target });
+            self.context.metrics.count("requests_moved", 1);
+        }
+        self.onward.send(call);
+    }
+
+    fn statuses(&self) -> Vec<Status> {
+        let keys = self.state.names.rows().iter().map(|(_, key)| *key);
+        let rows = keys.filter_map(|key| self.state.rows.get(key));
+        rows.map(|row| self.status(row)).collect()
+    }
+
+    fn status(&self, row: &Row) -> Status {
+        let now = self.context.clock.now();
+        let zones = row.to.iter();
+        let headroom = zones.map(|zone| decide::headroom(&self.state, row.service, *zone, now));
+        Status {
+            name: row.said.name.clone(),
+            seen: row.seen,
+            moved: row.moved,
+            headroom: headroom.sum(),
+            wait: row.wait,
         }
     }
 }
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -224,7 +224,7 @@
     world.restart(0);
     assert_eq!(world.until_status(1, "k-6", 200), first.1);
     // Once the second ledger has copied, a second VM may fail.
-    let file = world.disk(1).join("ledger.log");
+    let file = world.disk(1).join("ledger/ledger.log");
     eventually("the ledger votes", || {
         let bytes = fs::read(&file).ok()?;
         let records = siskinstep::ledger::encode::recover(&bytes).records;
