--- a/src/entry/guards.rs
+++ b/src/entry/guards.rs
@@ -2,13 +2,14 @@
 
 use {
     super::{
+        links::Links,
         settings::Settings,
         wiring::{StartError, ThreadSnafu},
     },
-    crate::{context::Context, edge::Secret, ledger, poison, ring},
+    crate::{context::Context, edge::Secret, ledger, poison, ring, spread},
     jsonrpsee::RpcModule,
     snafu::ResultExt,
-    std::thread::JoinHandle,
+    std::{path::Path, thread::JoinHandle},
     tokio::sync::oneshot,
 };
 
@@ -24,8 +25,9 @@
         return Ok(None);
     };
     let (tx, rx) = ring::bounded(settings.ring);
-    let folder = settings.data_dir.as_ref();
-    let thread = ledger::spawn(context.clone(), settings.ledger, folder, rx);
+    // A folder of its own: a control VM may keep its log beside it.
+    let folder = Path::new(&settings.data_dir).join("ledger");
+    let thread = ledger::spawn(context.clone(), settings.ledger, &folder, rx);
     threads.push(thread.context(ThreadSnafu { name: "ledger" })?);
     let (stop, stopped) = oneshot::channel();
     stops.push(stop);
@@ -40,8 +42,10 @@
 pub(super) fn methods(
     ledger: Option<&ring::Sender<ledger::Message>>,
     poison: &ring::Sender<poison::Message>,
+    links: &Links,
 ) -> Result<RpcModule<()>, StartError> {
     let mut module = RpcModule::new(());
+    spread::register(&mut module, links.source.clone())?;
     ledger::register(&mut module, ledger)?;
     poison::register(&mut module, poison)?;
     Ok(module)
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -83,6 +83,7 @@
     shift: ring::Sender<shift::Message>,
     poison: ring::Sender<poison::Message>,
     verdicts: watch::Receiver<Arc<poison::Verdicts>>,
+    seen: membership::messages::Seen,
     claims: claims::Wires,
     pub slots: ring::Sender<slots::Message>,
     membership: ring::Sender<membership::Message>,
@@ -117,7 +118,11 @@
     admin: Running,
 }
 
-fn rings(capacity: usize, membership: ring::Sender<membership::Message>) -> (Rings, Ends) {
+fn rings(
+    capacity: usize,
+    membership: ring::Sender<membership::Message>,
+    seen: membership::messages::Seen,
+) -> (Rings, Ends) {
     let (lookup, lookup_end) = ring::bounded(capacity);
     let (announce, announce_end) = ring::bounded(capacity);
     let (shift, shift_end) = ring::bounded(capacity);
@@ -141,6 +146,7 @@
         shift,
         poison,
         verdicts,
+        seen,
         claims: wires,
         slots,
         membership,
@@ -179,11 +185,11 @@
         let topology = Arc::new(settings.topology.clone());
         let mut context = Context::new(&settings.vm, settings.zone, topology);
         let (membership, membership_end) = ring::bounded(settings.ring);
-        let (rings, ends) = rings(settings.ring, membership);
+        let (links, feeds) = links();
+        let (rings, ends) = rings(settings.ring, membership, links.seen.clone());
         context.notes = Some(rings.explain.clone());
         let bound = membership::bind(settings.listeners.members);
         let bound = bound.context(ThreadSnafu { name: "membership" })?;
-        let (links, feeds) = links();
         let (tables, tables_seen) = watch::channel(Arc::default());
         let mut stops = Vec::new();
         let mut threads = duties(
@@ -197,8 +203,7 @@
         };
         threads.push(follow(&context, &settings, wires, secret, &mut stops)?);
         let ledger = guards::keep_ledger(&context, &settings, secret, &mut threads, &mut stops)?;
-        let mut module = guards::methods(ledger.as_ref(), &rings.poison)?;
-        spread::register(&mut module, links.source.clone())?;
+        let mut module = guards::methods(ledger.as_ref(), &rings.poison, &links)?;
         shift::register(
             &mut module,
             context.clone(),
@@ -389,8 +394,11 @@
     let relay = relay::spawn(context, settings.relay, ends.relay, slots(), guard, stop());
     let poison = poison::spawn(
         context.clone(),
-        settings.poison.clone(),
-        secret.clone(),
+        settings.poison,
+        poison::Wires {
+            secret: secret.clone(),
+            seen: rings.seen.clone(),
+        },
         ends.poison,
         ends.verdicts,
         [stop(), stop()],
