Let a full or empty zone hand requests to zones with room

Cause: a zone at 150% of its own upstreams refused and queued while other zones stood half idle, and an entry VM whose upstreams had died refused everything; only shifts moved load. Change: a request that finds no slot goes once to the nearest VM with room: own zone, own region, another region. The VM that takes it in decides (src/slots/visit.rs): at once or not at all, never into the queue, and a reserve stays free for requests that enter there. So no zone brings load into another beyond its room; a refusal is provably not run, and the request waits at home. Ruled out: granted headroom as for shifts. A grant costs a round of asking before the surge is over, and the target still has to check; the check alone is exact. Tests failing first: surge_spills_over (27 of 181 shed, none at the idle zone) and load_of_a_lost_zone (61 of 61 refused no_upstream). After: none refused in both, slots not exceeded; scenario 19, shift 1 and traffic 6 tests pass. Also: distance between zones is the topology's, used by look-ups too.

--- a/src/forward/decide.rs
+++ b/src/forward/decide.rs
@@ -2,21 +2,49 @@
 
 use {
     super::{messages::Peer, state::State},
-    crate::keys::{ServiceKey, ZoneKey},
+    crate::{
+        keys::{ServiceKey, ZoneKey},
+        settings::topology::{FARTHEST, Topology},
+    },
 };
 
-/// The peer of `zone` with the most free slots of `service`, less what is on its way there from
-/// here. Within the `own` zone only a peer with free slots will do: this VM has asked itself.
-pub(super) fn choose(
+/// Where a request may go: its target, and the place that sends it there.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Way<'a> {
+    /// Zone that is to serve it.
+    pub target: ZoneKey,
+    /// Service asked for.
+    pub service: ServiceKey,
+    /// Zone of this VM.
+    pub own: ZoneKey,
+    /// Names that the settings declare.
+    pub topology: &'a Topology,
+}
+
+/// The peer for a request. One for another zone goes to that zone, to the VM with the most room.
+/// One that found no slot here goes to the nearest place with room: another VM of this zone, of
+/// this region, or of another region.
+pub(super) fn choose(state: &State, way: Way) -> Option<Peer> {
+    if way.target != way.own {
+        return roomiest(state, way.service, |peer| peer.zone == way.target).map(|(_, peer)| peer);
+    }
+    (0..=FARTHEST).find_map(|far| {
+        let near = |peer: &Peer| way.topology.distance(way.own, peer.zone) == far;
+        let (room, peer) = roomiest(state, way.service, near)?;
+        (room > 0).then_some(peer)
+    })
+}
+
+/// The peer with the most free slots of a service, less what is on its way there from here.
+fn roomiest(
     state: &State,
-    zone: ZoneKey,
     service: ServiceKey,
-    own: ZoneKey,
-) -> Option<Peer> {
-    let peers = state.rows.iter().filter(|(peer, _)| peer.zone == zone);
-    let room = peers.map(|(peer, inflight)| (room(peer, service, *inflight), peer));
-    let (most, best) = room.max_by_key(|(room, _)| *room)?;
-    (zone != own || most > 0).then(|| best.clone())
+    fits: impl Fn(&Peer) -> bool,
+) -> Option<(i64, Peer)> {
+    let peers = state.rows.iter().filter(|(peer, _)| fits(peer));
+    let rooms = peers.map(|(peer, inflight)| (room(peer, service, *inflight), peer));
+    let (room, peer) = rooms.max_by_key(|(room, _)| *room)?;
+    Some((room, peer.clone()))
 }
 
 fn room(peer: &Peer, service: ServiceKey, inflight: u32) -> i64 {
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        decide::{choose, count},
+        decide::{Way, choose, count},
         encode,
         messages::{Forwarded, Peer},
         receive::receive,
@@ -34,10 +34,22 @@
     }
 }
 
+/// The peer for a request for `target` from a VM of `own`; zones 0 and 1 share a region.
+fn pick(state: &State, target: u16, service: u16, own: u16) -> Option<String> {
+    let mut topology = Topology::default();
+    topology.add_region("r0".to_owned(), vec!["z0".to_owned(), "z1".to_owned()]);
+    topology.add_region("r1".to_owned(), vec!["z2".to_owned()]);
+    let way = Way {
+        target: ZoneKey(target),
+        service: ServiceKey(service),
+        own: ZoneKey(own),
+        topology: &topology,
+    };
+    choose(state, way).map(|peer| peer.name)
+}
+
 fn chosen(state: &State) -> String {
-    choose(state, ZoneKey(1), ServiceKey(0), ZoneKey(0))
-        .unwrap()
-        .name
+    pick(state, 1, 0, 0).unwrap()
 }
 
 #[test]
@@ -56,21 +68,24 @@
 }
 
 #[test]
-fn peers_of_the_own_zone_are_asked_only_with_a_free_slot_of_the_service() {
+fn a_full_vm_asks_the_nearest_with_a_free_slot_of_the_service() {
     let mut state = State::default();
-    state.replace(vec![peer("a", 1, 1), peer("b", 2, 0)]);
-    let own = |state: &State, zone, service| {
-        choose(state, ZoneKey(zone), ServiceKey(service), ZoneKey(zone)).is_some()
-    };
-    assert!(own(&state, 1, 0) && !own(&state, 1, 1) && !own(&state, 2, 0));
-    count(&mut state, "a", true);
-    assert!(!own(&state, 1, 0));
-    assert!(choose(&state, ZoneKey(1), ServiceKey(0), ZoneKey(2)).is_some());
+    state.replace(vec![peer("a", 0, 1), peer("b", 1, 1), peer("c", 2, 9)]);
+    let own = |state: &State, service| pick(state, 0, service, 0);
+    assert_eq!(own(&state, 1), None);
+    for name in ["a", "b", "c"] {
+        assert_eq!(own(&state, 0).as_deref(), Some(name));
+        count(&mut state, name, true);
+    }
+    assert_eq!(own(&state, 0).as_deref(), Some("c"));
+    state.replace(vec![peer("a", 0, 0)]);
+    assert_eq!(own(&state, 0), None);
+    assert_eq!(pick(&state, 0, 0, 2).as_deref(), Some("a"));
 }
 
 #[test]
 fn a_zone_without_peers_has_none() {
-    assert!(choose(&State::default(), ZoneKey(1), ServiceKey(0), ZoneKey(0)).is_none());
+    assert_eq!(pick(&State::default(), 1, 0, 0), None);
 }
 
 #[test]
--- a/src/forward/thread.rs
+++ b/src/forward/thread.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        decide, encode,
+        decide::{self, Way},
+        encode,
         messages::{Message, Peer},
         settings::Settings,
         state::State,
@@ -90,12 +91,13 @@
 fn start(duty: &Rc<Duty>, mut call: Call) {
     let duty = Rc::clone(duty);
     tokio::task::spawn_local(async move {
-        let chosen = decide::choose(
-            &duty.state.borrow(),
-            call.meta.target,
-            call.meta.service,
-            duty.context.zone,
-        );
+        let way = Way {
+            target: call.meta.target,
+            service: call.meta.service,
+            own: duty.context.zone,
+            topology: &duty.context.topology,
+        };
+        let chosen = decide::choose(&duty.state.borrow(), way);
         match chosen {
             Some(peer) => {
                 let outcome = duty.exchange(&peer, &mut call).await;
--- a/src/lookup/decide.rs
+++ b/src/lookup/decide.rs
@@ -6,7 +6,7 @@
         settings::Settings,
         state::State,
     },
-    crate::{context::Context, keys::ZoneKey, policy::Drain, settings::topology::Topology},
+    crate::{context::Context, policy::Drain},
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
@@ -49,7 +49,7 @@
 fn order(context: &Context, vm: &Vm) -> Order {
     let seed = xxh3_64(context.vm.as_bytes());
     Order {
-        distance: distance(&context.topology, context.zone, vm.zone),
+        distance: context.topology.distance(context.zone, vm.zone),
         suspect: vm.suspect,
         hash: xxh3_64_with_seed(vm.name.as_bytes(), seed),
     }
@@ -63,16 +63,6 @@
     !stopping && !drained
 }
 
-fn distance(topology: &Topology, from: ZoneKey, to: ZoneKey) -> u8 {
-    if from == to {
-        return 0;
-    }
-    if topology.region_of(from) == topology.region_of(to) {
-        return 1;
-    }
-    2
-}
-
 fn row(vm: &Vm) -> Ranked {
     Ranked {
         vm: vm.name.clone(),
--- a/src/settings/topology.rs
+++ b/src/settings/topology.rs
@@ -8,6 +8,9 @@
     },
 };
 
+/// Distance between zones of different regions.
+pub const FARTHEST: u8 = 2;
+
 /// An availability zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Zone {
@@ -144,6 +147,25 @@
         self.zones[usize::from(zone.0)].region
     }
 
+    /// How far a zone is: 0 the same, 1 the same region, [`FARTHEST`] another region.
+    ///
+    /// ```
+    /// use siskinstep::{keys::ZoneKey, settings::topology::Topology};
+    /// let mut topology = Topology::default();
+    /// topology.add_region("tamar".into(), vec!["tamar-a".into(), "tamar-b".into()]);
+    /// assert_eq!(topology.distance(ZoneKey(0), ZoneKey(1)), 1);
+    /// ```
+    #[must_use]
+    pub fn distance(&self, from: ZoneKey, to: ZoneKey) -> u8 {
+        if from == to {
+            return 0;
+        }
+        if self.region_of(from) == self.region_of(to) {
+            return 1;
+        }
+        FARTHEST
+    }
+
     /// The service of that name.
     ///
     /// ```
--- a/src/slots/mod.rs
+++ b/src/slots/mod.rs
@@ -12,6 +12,7 @@
 #[cfg(test)]
 mod tests;
 mod thread;
+mod visit;
 
 pub use {
     messages::{Message, Status},
--- a/src/slots/settings.rs
+++ b/src/slots/settings.rs
@@ -26,6 +26,8 @@
     pub eject_after: u32,
     /// Milliseconds of the first back-off; it doubles up to 32 times.
     pub backoff_ms: u64,
+    /// Thousandths of a service's slots that requests of other zones leave free.
+    pub reserve_permille: u64,
 }
 
 impl Default for Settings {
@@ -41,6 +43,7 @@
             ramp_ms: 1_000,
             eject_after: 3,
             backoff_ms: 200,
+            reserve_permille: 200,
         }
     }
 }
@@ -62,6 +65,7 @@
             ramp_ms: section.number("ramp_ms", base.ramp_ms, 0..=600_000),
             eject_after: u32::try_from(eject_after).unwrap_or(u32::MAX),
             backoff_ms: section.number("backoff_ms", base.backoff_ms, 1..=60_000),
+            reserve_permille: section.number("reserve_permille", base.reserve_permille, 0..=1_000),
         };
         if settings.settle_ms < settings.attempt_ms + settings.grace_ms {
             section.reject("settle_ms", "expected at least attempt_ms + grace_ms");
--- a/src/slots/tests/fuzz.rs
+++ b/src/slots/tests/fuzz.rs
@@ -45,6 +45,7 @@
     ramp_ms: 0,
     eject_after: 3,
     backoff_ms: 1,
+    reserve_permille: 0,
 };
 const LEASES: Leases = Leases {
     lease_ms: 2_000,
--- a/src/slots/tests/mod.rs
+++ b/src/slots/tests/mod.rs
@@ -10,6 +10,7 @@
         queue::{Placed, place},
         settings::Settings,
         state::{Request, State},
+        visit::{is_visitor, is_welcome},
     },
     crate::{
         announce::{Absence, Announcement, Notice},
@@ -201,6 +202,32 @@
     assert_eq!((left(idle), left(busy)), (Some(0), None));
 }
 
+#[test]
+fn a_visitor_never_waits_and_leaves_the_reserve_free() {
+    let settings = Settings {
+        queue: 9,
+        reserve_permille: 300,
+        ..settings()
+    };
+    let mut home = Home::default();
+    home.join(said("u1", 3));
+    let mut visitor = request(Micros(100));
+    visitor.meta.hops = 1;
+    visitor.meta.origin = ZoneKey(1);
+    assert!(is_visitor(&visitor, ZoneKey(0)) && !is_visitor(&visitor, ZoneKey(1)));
+    let welcome = |home: &Home| is_welcome(&home.state, settings, &visitor, Micros(0));
+    assert!(welcome(&home));
+    home.take().unwrap();
+    assert!(welcome(&home));
+    home.take().unwrap();
+    assert!(!welcome(&home), "the last slot is the reserve");
+    home.take().unwrap();
+    assert!(
+        !welcome(&home),
+        "a place in the queue is none for a visitor"
+    );
+}
+
 #[test]
 fn a_late_request_takes_no_slot() {
     let mut home = Home::default();
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -9,6 +9,7 @@
         queue::{self, Placed},
         settings::Settings,
         state::{Request, Row, State},
+        visit,
     },
     crate::{
         announce,
@@ -151,10 +152,15 @@
         let now = self.now();
         let ask_peers = call.meta.hops == 0 && attempt == 1;
         if ask_peers && !queue::has_room(&self.state, self.settings, &request, now) {
-            // Another VM of this zone may be the home of an upstream with a free slot.
+            // Another VM, of this zone or another, may be the home of one with a free slot.
             self.forward(call);
             return;
         }
+        let visitor = visit::is_visitor(&request, self.context.zone);
+        if visitor && !visit::is_welcome(&self.state, self.settings, &request, now) {
+            call.finish(Err(Refusal::not_run(Reason::NoSlot)));
+            return;
+        }
         let placed = queue::place(&mut self.state, self.settings, request, now);
         self.carry_out(call, placed);
     }
--- a/tests/scenario.rs
+++ b/tests/scenario.rs
@@ -63,12 +63,14 @@
     drain_of_an_upstream
     frozen_control
     kill_during_a_shift
+    load_of_a_lost_zone
     lost_region
     lying_reports
     planned_stop
     restart_of_an_entry
     silent_connections
     slots_are_not_exceeded
+    surge_spills_over
     two_lost_disks
 }
 
