Split the entry VM's wiring; read what every VM's settings share in one place

Cause: src/entry/wiring.rs had grown to 535 lines with five jobs; the settings of both daemons read the same seven keys twice. Ruled out: a trait over both daemons; they share values, not behaviour.

--- a/benches/agree.rs
+++ b/benches/agree.rs
@@ -9,7 +9,10 @@
         control::{Control, Settings},
         edge::{Secret, client::Client},
         policy::{Change, Command, Drain},
-        settings::topology::{Kind, Topology},
+        settings::{
+            topology::{Kind, Topology},
+            vm::Vm,
+        },
     },
     std::{
         io::{self, Read, Write},
@@ -87,10 +90,13 @@
 
 fn settings(at: usize, members: &[Listed], listeners: &[SocketAddr], folder: &TempDir) -> Settings {
     let mut settings = Settings {
-        vm: members[at].name.clone(),
-        topology: topology(),
-        ring: 4_096,
-        data_dir: folder.path().join(at.to_string()).display().to_string(),
+        vm: Vm {
+            name: members[at].name.clone(),
+            topology: topology(),
+            ring: 4_096,
+            data_dir: folder.path().join(at.to_string()).display().to_string(),
+            ..Vm::default()
+        },
         ..Settings::default()
     };
     settings.agree.members = members.to_vec();
--- a/benches/fakes/mod.rs
+++ b/benches/fakes/mod.rs
@@ -11,11 +11,14 @@
         edge::{self, Handler, Limits, Listener, Outgoing, Running, Secret},
         entry::{self, Entry},
         keys::{ServiceKey, ZoneKey},
-        settings::topology::{Kind, Topology},
+        settings::{
+            topology::{Kind, Topology},
+            vm::Vm,
+        },
     },
     std::{
         cell::Cell,
-        net::SocketAddr,
+        net::{SocketAddr, UdpSocket},
         rc::Rc,
         sync::{
             Arc,
@@ -187,7 +190,10 @@
 /// One region with one zone, and the services given, each with the kind `ask`.
 pub fn topology(services: &[&str], deadline_ms: u64) -> Topology {
     let mut topology = Topology::default();
-    topology.add_region("derwent".to_owned(), vec!["derwent-a".to_owned()]);
+    for region in ["derwent", "tamar", "macquarie"] {
+        let zones = ["a", "b"].map(|zone| format!("{region}-{zone}"));
+        topology.add_region(region.to_owned(), zones.to_vec());
+    }
     for service in services {
         let kind = Kind {
             name: "ask".to_owned(),
@@ -202,15 +208,32 @@
     topology
 }
 
-/// An entry VM in this process.
-pub fn entry(topology: Topology) -> Entry {
-    let settings = entry::Settings {
-        vm: "entry-1".to_owned(),
-        topology,
-        ring: 4_096,
+/// Free addresses for datagrams on loopback.
+pub fn datagram_addresses(count: usize) -> Vec<SocketAddr> {
+    let sockets = (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
+    // All are held until each has its own.
+    let sockets: Vec<UdpSocket> = sockets.collect();
+    sockets
+        .iter()
+        .map(|socket| socket.local_addr().unwrap())
+        .collect()
+}
+
+/// An entry VM in this process, the only one of its zone; it meets the others at `seeds`.
+pub fn entry(topology: Topology, zone: u16, members: SocketAddr, seeds: Vec<SocketAddr>) -> Entry {
+    let mut settings = entry::Settings {
+        vm: Vm {
+            name: format!("entry-{zone}"),
+            zone: ZoneKey(zone),
+            topology,
+            ring: 4_096,
+            ..Vm::default()
+        },
         stop_ms: 2_000,
         linger_ms: 0,
         ..entry::Settings::default()
     };
+    settings.listeners.members = members;
+    settings.membership.seeds = seeds;
     Entry::start(settings, &Secret::new("experiment-secret-0123")).unwrap()
 }
--- a/benches/hop.rs
+++ b/benches/hop.rs
@@ -3,7 +3,7 @@
 mod fakes;
 
 use {
-    fakes::{Behaviour, Fake, entry, topology},
+    fakes::{Behaviour, Fake, datagram_addresses, entry, topology},
     siskinstep::load::{self, Kind, Plan, Steering},
     std::net::SocketAddr,
 };
@@ -44,7 +44,12 @@
 }
 
 fn main() {
-    let entry = entry(topology(&["fast", "slow"], 2_000));
+    let entry = entry(
+        topology(&["fast", "slow"], 2_000),
+        0,
+        datagram_addresses(1)[0],
+        vec![],
+    );
     let rate = number("RATE", 1_000);
     for (service, service_ms) in [("fast", 0), ("slow", 5)] {
         let behaviour = Behaviour {
--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,12 +1,12 @@
 //! Steering by siskinstep against round robin and least reported load, over the same upstreams in
 //! the same run: calm, a surge in one zone, and lying load reports.
 //!
-//! One entry VM a zone. Without peers each steers within its own zone.
+//! One entry VM a zone, in three regions; they know each other.
 
 mod fakes;
 
 use {
-    fakes::{Behaviour, Fake, entry, topology},
+    fakes::{Behaviour, Fake, datagram_addresses, entry, topology},
     siskinstep::{
         entry::Entry,
         load::{self, Kind, Plan, Report, Steering},
@@ -58,7 +58,13 @@
 impl World {
     fn start(deployment: &Deployment, lying: bool) -> Self {
         let names = deployment.2.map(|service| service.0);
-        let entries: Vec<Entry> = (0..ZONES).map(|_| entry(topology(&names, 2_000))).collect();
+        let members = datagram_addresses(ZONES);
+        let start = |zone: u16| {
+            let own = members[usize::from(zone)];
+            entry(topology(&names, 2_000), zone, own, members.clone())
+        };
+        let zones = u16::try_from(ZONES).unwrap();
+        let entries: Vec<Entry> = (0..zones).map(start).collect();
         let start = |service: &Service, at: usize| {
             let (name, _, slots, service_ms, _) = *service;
             let zone = at % ZONES;
--- a/benches/spread/node.rs
+++ b/benches/spread/node.rs
@@ -11,7 +11,10 @@
         operator::Operator,
         policy::{Change, Command, Drain},
         ring::{self, Ring},
-        settings::topology::{Kind, Topology},
+        settings::{
+            topology::{Kind, Topology},
+            vm::Vm,
+        },
         slots,
         spread::{self, Source, Subscribers, Wires},
     },
@@ -79,9 +82,12 @@
     pub fn start(zones: u16, each: u16) -> (Self, Receiver<Applied>) {
         let secret = Secret::new(SECRET);
         let settings = control::Settings {
-            vm: "control-1".to_owned(),
-            topology: topology(zones),
-            ring: 4_096,
+            vm: Vm {
+                name: "control-1".to_owned(),
+                topology: topology(zones),
+                ring: 4_096,
+                ..Vm::default()
+            },
             ..control::Settings::default()
         };
         let control = Control::start(&settings, &secret).expect("control");
--- a/src/bin/siskinstep-control.rs
+++ b/src/bin/siskinstep-control.rs
@@ -36,7 +36,7 @@
 }
 
 fn start(settings: &Settings) -> Result<Control, String> {
-    let secret = Secret::load(settings.secret_file.as_ref());
+    let secret = Secret::load(settings.vm.secret_file.as_ref());
     let secret = secret.map_err(|error| format!("secret_file: {error}"))?;
     Control::start(settings, &secret).map_err(|error| error.to_string())
 }
--- a/src/bin/siskinstep-entry.rs
+++ b/src/bin/siskinstep-entry.rs
@@ -30,7 +30,7 @@
 }
 
 fn start(settings: Settings) -> Result<Entry, String> {
-    let secret = Secret::load(settings.secret_file.as_ref());
+    let secret = Secret::load(settings.vm.secret_file.as_ref());
     let secret = secret.map_err(|error| format!("secret_file: {error}"))?;
     Entry::start(settings, &secret).map_err(|error| error.to_string())
 }
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -3,18 +3,12 @@
 use {
     crate::{
         agree::{self, Listed},
-        edge::Limits,
-        keys::ZoneKey,
-        settings::{section::Section, topology::Topology},
+        edge::LOOPBACK,
+        settings::{section::Section, vm::Vm},
     },
     std::net::SocketAddr,
 };
 
-const LOOPBACK: SocketAddr = SocketAddr::V4(std::net::SocketAddrV4::new(
-    std::net::Ipv4Addr::LOCALHOST,
-    0,
-));
-
 /// Addresses that a control VM listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listeners {
@@ -51,22 +45,10 @@
 /// Settings of a control VM.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
-    /// Name of the VM, unique in the fleet.
-    pub vm: String,
-    /// Its availability zone.
-    pub zone: ZoneKey,
-    /// Names that the fleet shares.
-    pub topology: Topology,
+    /// The VM.
+    pub vm: Vm,
     /// Addresses to listen on.
     pub listeners: Listeners,
-    /// Bounds of the listeners.
-    pub limits: Limits,
-    /// File with the secret shared by operators and peers.
-    pub secret_file: String,
-    /// Messages that a ring holds.
-    pub ring: usize,
-    /// Folder for what must survive; empty keeps nothing, which only a trial may do.
-    pub data_dir: String,
     /// Agreement among control VMs.
     pub agree: agree::Settings,
 }
@@ -75,9 +57,13 @@
     /// How the other control VMs know this one.
     #[must_use]
     pub fn listed(&self) -> Listed {
-        let own = self.agree.members.iter().find(|row| row.name == self.vm);
+        let own = self
+            .agree
+            .members
+            .iter()
+            .find(|row| row.name == self.vm.name);
         own.cloned().unwrap_or_else(|| Listed {
-            name: self.vm.clone(),
+            name: self.vm.name.clone(),
             peers: self.listeners.peers,
             operators: self.listeners.operators,
         })
@@ -85,36 +71,23 @@
 
     /// Reads a settings file of a control VM.
     pub fn read(section: &mut Section<'_>) -> Self {
-        let vm = section.name("vm");
-        let zone_name = section.text("availability_zone", "");
-        let topology = Topology::read(section);
-        let zone = topology.zone(&zone_name);
-        if zone.is_none() {
-            section.reject("availability_zone", "expected a zone of `regions`");
-        }
-        let data_dir = section.text("data_dir", "");
+        let vm = Vm::read(section);
         let mut agree = section.section("agree", agree::Settings::read);
         agree.members = section.list("members", Listed::read);
-        check_members(section, &agree.members, &vm, &data_dir);
+        check_members(section, &agree.members, &vm);
         Self {
             vm,
-            zone: zone.unwrap_or(ZoneKey(0)),
-            topology,
             listeners: section.section("listeners", Listeners::read),
-            limits: section.section("limits", Limits::read),
-            secret_file: section.text("secret_file", "siskinstep.secret"),
-            ring: section.size("ring", 4_096, 1..=1 << 20),
-            data_dir,
             agree,
         }
     }
 }
 
-fn check_members(section: &mut Section<'_>, members: &[Listed], vm: &str, data_dir: &str) {
+fn check_members(section: &mut Section<'_>, members: &[Listed], vm: &Vm) {
     if members.is_empty() {
         return;
     }
-    if !members.iter().any(|row| row.name == vm) {
+    if !members.iter().any(|row| row.name == vm.name) {
         section.reject("members", "expected a row for `vm`");
     }
     let mut names: Vec<&str> = members.iter().map(|row| row.name.as_str()).collect();
@@ -123,7 +96,7 @@
     if names.len() != members.len() {
         section.reject("members", "names must differ");
     }
-    if data_dir.is_empty() {
+    if vm.data_dir.is_empty() {
         section.reject("data_dir", "expected a folder, as `members` are given");
     }
 }
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -72,9 +72,8 @@
     /// # Errors
     /// A thread or listener cannot start.
     pub fn start(settings: &Settings, secret: &Secret) -> Result<Self, StartError> {
-        let topology = Arc::new(settings.topology.clone());
-        let context = Context::new(&settings.vm, settings.zone, topology);
-        let (agree, agree_ring) = ring::bounded(settings.ring);
+        let context = settings.vm.context();
+        let (agree, agree_ring) = ring::bounded(settings.vm.ring);
         let (policies, policies_seen) = watch::channel(Arc::default());
         let (fresh_in, fresh) = watch::channel(true);
         let replica = Replica {
@@ -196,7 +195,7 @@
     secret: &Secret,
     replica: Replica,
 ) -> Result<Vec<JoinHandle<()>>, StartError> {
-    let (folder, found) = open_folder(&settings.data_dir)?;
+    let (folder, found) = open_folder(&settings.vm.data_dir)?;
     let (storage, storage_ring) = ring::bounded(STORAGE_RING);
     let reports = replica.sender.clone();
     let tell = move |report| drop(reports.send(agree::Message::Storage(report)));
@@ -263,7 +262,7 @@
     let listener = Listener {
         name,
         address,
-        limits: settings.limits,
+        limits: settings.vm.limits,
         secret: secret.cloned(),
     };
     edge::spawn(listener, context.clone(), make)
--- a/src/dev/run.rs
+++ b/src/dev/run.rs
@@ -8,7 +8,10 @@
         entry::{self, Entry},
         keys::ServiceKey,
         observe,
-        settings::topology::{Kind, Topology},
+        settings::{
+            topology::{Kind, Topology},
+            vm::Vm,
+        },
     },
     signal_hook::{
         consts::{SIGINT, SIGTERM},
@@ -22,6 +25,7 @@
 const KIND: &str = "check";
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 const SLOTS: u16 = 9;
+const RING: usize = 64;
 
 /// Why the trial could not run.
 #[derive(Debug, Snafu)]
@@ -98,20 +102,25 @@
     topology
 }
 
+fn vm(name: &str) -> Vm {
+    Vm {
+        name: name.to_owned(),
+        topology: topology(),
+        ring: RING,
+        ..Vm::default()
+    }
+}
+
 fn control_settings() -> control::Settings {
     control::Settings {
-        vm: "control-1".to_owned(),
-        topology: topology(),
-        ring: 64,
+        vm: vm("control-1"),
         ..control::Settings::default()
     }
 }
 
 fn entry_settings(control: SocketAddr) -> entry::Settings {
     let mut settings = entry::Settings {
-        vm: "entry-1".to_owned(),
-        topology: topology(),
-        ring: 64,
+        vm: vm("entry-1"),
         stop_ms: 5_000,
         ..entry::Settings::default()
     };
--- a/src/edge/limits.rs
+++ b/src/edge/limits.rs
@@ -1,6 +1,12 @@
 //! What one connection and one listener may hold.
 
-use crate::settings::section::Section;
+use {
+    crate::settings::section::Section,
+    std::net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+};
+
+/// Loopback, with a port that the system picks: the default of every listener.
+pub const LOOPBACK: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0));
 
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -14,7 +14,7 @@
 mod tests;
 
 pub use {
-    limits::Limits,
+    limits::{LOOPBACK, Limits},
     listener::{Handler, Incoming, Listener, Outgoing, Running, spawn},
     secret::Secret,
 };
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -1,7 +1,7 @@
 //! The latest values that duties and listeners of an entry VM read from each other.
 
 use {
-    super::wiring::Rings,
+    super::rings::Rings,
     crate::{
         announce, forward, lookup,
         membership::{Lease, Member, Members, Outputs, Standing, TakeSlots, messages::Seen},
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,7 +1,10 @@
 //! An entry VM: its duties, the rings between them and its listeners.
 
+mod duties;
 mod guards;
 mod links;
+mod open;
+mod rings;
 pub mod settings;
 mod wiring;
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,21 +3,14 @@
 use {
     crate::{
         announce, claims,
-        edge::Limits,
-        explain, forward,
-        keys::ZoneKey,
-        ledger, lookup, membership, poison, relay,
-        settings::{section::Section, topology::Topology},
+        edge::LOOPBACK,
+        explain, forward, ledger, lookup, membership, poison, relay,
+        settings::{section::Section, vm::Vm},
         shift, slots, spread,
     },
     std::net::SocketAddr,
 };
 
-const LOOPBACK: SocketAddr = SocketAddr::V4(std::net::SocketAddrV4::new(
-    std::net::Ipv4Addr::LOCALHOST,
-    0,
-));
-
 /// Addresses that an entry VM listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listeners {
@@ -62,22 +55,10 @@
 /// Settings of an entry VM.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
-    /// Name of the VM, unique in the fleet.
-    pub vm: String,
-    /// Its availability zone.
-    pub zone: ZoneKey,
-    /// Names that the fleet shares.
-    pub topology: Topology,
+    /// The VM.
+    pub vm: Vm,
     /// Addresses to listen on.
     pub listeners: Listeners,
-    /// Bounds of the listeners.
-    pub limits: Limits,
-    /// File with the secret shared by operators and peers.
-    pub secret_file: String,
-    /// Folder for what must survive a restart, empty on a VM without a disk.
-    pub data_dir: String,
-    /// Messages that a ring holds.
-    pub ring: usize,
     /// Milliseconds for which a stopping VM still serves callers that hold an older look-up.
     pub linger_ms: u64,
     /// Milliseconds at most for work in flight to end at a stop.
@@ -111,22 +92,9 @@
 impl Settings {
     /// Reads a settings file of an entry VM.
     pub fn read(section: &mut Section<'_>) -> Self {
-        let vm = section.name("vm");
-        let zone_name = section.text("availability_zone", "");
-        let topology = Topology::read(section);
-        let zone = topology.zone(&zone_name);
-        if zone.is_none() {
-            section.reject("availability_zone", "expected a zone of `regions`");
-        }
         let settings = Self {
-            vm,
-            zone: zone.unwrap_or(ZoneKey(0)),
-            topology,
+            vm: Vm::read(section),
             listeners: section.section("listeners", Listeners::read),
-            limits: section.section("limits", Limits::read),
-            secret_file: section.text("secret_file", "siskinstep.secret"),
-            data_dir: section.text("data_dir", ""),
-            ring: section.size("ring", 4_096, 1..=1 << 20),
             linger_ms: section.number("linger_ms", 1_000, 0..=600_000),
             stop_ms: section.number("stop_ms", 30_000, 1..=3_600_000),
             lookup: section.section("lookup", lookup::Settings::read),
@@ -142,7 +110,7 @@
             poison: section.section("poison", poison::Settings::read),
             spread: section.section("spread", spread::Settings::read),
         };
-        if settings.data_dir.is_empty() && settings.other_ledgers().is_some() {
+        if settings.vm.data_dir.is_empty() && settings.other_ledgers().is_some() {
             section.reject(
                 "data_dir",
                 "expected a folder, as this VM is a ledger of `claims`",
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -2,27 +2,24 @@
 
 use {
     super::{
+        duties::{Base, Stops, duties, follow},
         guards,
-        links::{Links, links, outputs},
+        links::{links, outputs},
+        open::{Open, open},
+        rings::{Rings, rings},
         settings::Settings,
     },
     crate::{
-        admin, announce,
-        callers::{self, Front},
-        claims,
+        announce,
         context::Context,
-        drain,
-        edge::{self, Handler, Listener, Running, Secret, listener::ListenError},
-        explain, forward, lookup,
+        edge::{Secret, listener::ListenError},
+        lookup,
         membership::{self, Lease},
         observe::{Event, report},
-        peers, poison,
-        relay::{self, Dispatch},
-        ring::{self, Inbox, Ring},
-        shift, slots,
-        spread::{self, Subscribers, Wires},
+        ring,
+        spread::Wires,
     },
-    jsonrpsee::{RpcModule, core::RegisterMethodError},
+    jsonrpsee::core::RegisterMethodError,
     snafu::{ResultExt, Snafu},
     std::{
         io,
@@ -31,7 +28,7 @@
         thread::{self, JoinHandle},
         time::{Duration, Instant},
     },
-    tokio::sync::{oneshot, watch},
+    tokio::sync::watch,
 };
 
 const STOP_POLL: Duration = Duration::from_millis(10);
@@ -71,155 +68,42 @@
     settings: Settings,
     rings: Rings,
     open: Open,
-    stops: Vec<oneshot::Sender<()>>,
+    stops: Stops,
     threads: Vec<JoinHandle<()>>,
 }
 
-/// The sending end of each duty's ring.
-#[derive(Clone, Debug)]
-pub(super) struct Rings {
-    pub lookup: ring::Sender<lookup::Message>,
-    pub announce: ring::Sender<announce::Message>,
-    shift: ring::Sender<shift::Message>,
-    poison: ring::Sender<poison::Message>,
-    verdicts: watch::Receiver<Arc<poison::Verdicts>>,
-    seen: membership::messages::Seen,
-    claims: claims::Wires,
-    pub slots: ring::Sender<slots::Message>,
-    membership: ring::Sender<membership::Message>,
-    explain: ring::Sender<explain::Message>,
-    pub out: slots::Out,
-    pub peers: watch::Sender<Arc<Vec<forward::Peer>>>,
-    shifted: watch::Sender<shift::Shifted>,
-}
-
-/// The receiving end of each duty's ring.
-struct Ends {
-    lookup: Ring<lookup::Message>,
-    announce: Ring<announce::Message>,
-    shift: Ring<shift::Message>,
-    claims: Ring<claims::Message>,
-    poison: Ring<poison::Message>,
-    verdicts: watch::Sender<Arc<poison::Verdicts>>,
-    ledgers: Inbox<claims::Broadcast>,
-    slots: Ring<slots::Message>,
-    explain: Ring<explain::Message>,
-    drain: Ring<drain::Message>,
-    relay: Inbox<Dispatch>,
-    forward: Inbox<forward::Message>,
-}
-
-/// The listeners.
-#[derive(Debug)]
-struct Open {
-    callers: Running,
-    upstreams: Running,
-    peers: Running,
-    admin: Running,
-}
-
-fn rings(
-    capacity: usize,
-    membership: ring::Sender<membership::Message>,
-    seen: membership::messages::Seen,
-) -> (Rings, Ends) {
-    let (lookup, lookup_end) = ring::bounded(capacity);
-    let (announce, announce_end) = ring::bounded(capacity);
-    let (shift, shift_end) = ring::bounded(capacity);
-    let (poison, poison_end) = ring::bounded(capacity);
-    let (verdicts_end, verdicts) = watch::channel(Arc::default());
-    let (claims, claims_end) = ring::bounded(capacity);
-    let (ledgers, ledgers_end) = ring::awaited(capacity);
-    let (slots, slots_end) = ring::bounded(capacity);
-    let (explain, explain_end) = ring::bounded(capacity);
-    let (drain, drain_end) = ring::bounded(capacity);
-    let (relay, relay_end) = ring::awaited(capacity);
-    let (forward, forward_end) = ring::awaited(capacity);
-    let wires = claims::Wires {
-        claims,
-        ledgers,
-        slots: slots.clone(),
-    };
-    let rings = Rings {
-        lookup,
-        announce,
-        shift,
-        poison,
-        verdicts,
-        seen,
-        claims: wires,
-        slots,
-        membership,
-        explain,
-        peers: watch::channel(Arc::default()).0,
-        shifted: watch::channel(Arc::default()).0,
-        out: slots::Out {
-            relay,
-            forward,
-            drain,
-        },
-    };
-    let ends = Ends {
-        lookup: lookup_end,
-        announce: announce_end,
-        shift: shift_end,
-        claims: claims_end,
-        poison: poison_end,
-        verdicts: verdicts_end,
-        ledgers: ledgers_end,
-        slots: slots_end,
-        explain: explain_end,
-        drain: drain_end,
-        relay: relay_end,
-        forward: forward_end,
-    };
-    (rings, ends)
-}
-
 impl Entry {
     /// Starts every thread and listener.
     ///
     /// # Errors
     /// A thread or listener cannot start.
     pub fn start(settings: Settings, secret: &Secret) -> Result<Self, StartError> {
-        let topology = Arc::new(settings.topology.clone());
-        let mut context = Context::new(&settings.vm, settings.zone, topology);
-        let (membership, membership_end) = ring::bounded(settings.ring);
+        let mut context = settings.vm.context();
+        let (membership, membership_end) = ring::bounded(settings.vm.ring);
         let (links, feeds) = links();
-        let (rings, ends) = rings(settings.ring, membership, links.seen.clone());
+        let (rings, ends) = rings(settings.vm.ring, membership, links.seen.clone());
         context.notes = Some(rings.explain.clone());
         let bound = membership::bind(settings.listeners.members);
         let bound = bound.context(ThreadSnafu { name: "membership" })?;
         let (tables, tables_seen) = watch::channel(Arc::default());
-        let mut stops = Vec::new();
-        let mut threads = duties(
-            &context, &settings, &rings, ends, tables, secret, &mut stops,
-        )?;
+        let mut stops = Stops::default();
+        let base = Base {
+            context: &context,
+            settings: &settings,
+            rings: &rings,
+            secret,
+        };
+        let mut threads = duties(base, ends, tables, &mut stops)?;
         let wires = Wires {
-            subscribers: subscribers(&rings),
+            subscribers: rings.subscribers(),
             policies: feeds.policies,
             fresh: feeds.fresh,
             seen: links.seen.clone(),
         };
-        threads.push(follow(&context, &settings, wires, secret, &mut stops)?);
-        let ledger = guards::keep_ledger(&context, &settings, secret, &mut threads, &mut stops)?;
-        let mut module = guards::methods(ledger.as_ref(), &rings.poison, &links)?;
-        shift::register(
-            &mut module,
-            context.clone(),
-            settings.shift,
-            rings.shift.clone(),
-            rings.slots.clone(),
-        )?;
-        let open = open(
-            &context,
-            &settings,
-            &rings,
-            &links,
-            tables_seen,
-            secret,
-            module,
-        )?;
+        threads.push(follow(base, wires, &mut stops)?);
+        let ledger = guards::keep_ledger(base, &mut threads, &mut stops)?;
+        let module = guards::methods(base, ledger.as_ref(), &links)?;
+        let open = open(base, &links, tables_seen, module)?;
         let addresses = membership::Addresses {
             callers: open.callers.address,
             upstreams: open.upstreams.address,
@@ -282,10 +166,7 @@
         // Whoever got the last answers may be sending again on the same connection.
         thread::sleep(STOP_NOTICE);
         self.await_work();
-        self.open.callers.join();
-        self.open.upstreams.join();
-        self.open.peers.join();
-        self.open.admin.join();
+        self.open.join();
         drop(self.rings);
         drop(self.stops);
         drop(self.context);
@@ -318,218 +199,3 @@
         }
     }
 }
-
-/// The duties after the shift duty.
-fn onward(context: &Context, rings: &Rings) -> shift::Onward {
-    shift::Onward {
-        topology: Arc::clone(&context.topology),
-        claims: rings.claims.claims.clone(),
-        slots: rings.slots.clone(),
-    }
-}
-
-/// Starts the duties that only talk over rings and to upstreams or peers.
-fn duties(
-    context: &Context,
-    settings: &Settings,
-    rings: &Rings,
-    ends: Ends,
-    tables: watch::Sender<Arc<lookup::Table>>,
-    secret: &Secret,
-    stops: &mut Vec<oneshot::Sender<()>>,
-) -> Result<Vec<JoinHandle<()>>, StartError> {
-    let slots = || rings.slots.clone();
-    let mut stop = || {
-        let (stop, stopped) = oneshot::channel();
-        stops.push(stop);
-        stopped
-    };
-    let named = |name, thread: io::Result<JoinHandle<()>>| thread.context(ThreadSnafu { name });
-    let lookup = lookup::spawn(context.clone(), settings.lookup, ends.lookup, tables);
-    let announce = announce::spawn(context.clone(), settings.announce, ends.announce, slots());
-    let claims = claims::spawn(
-        context.clone(),
-        settings.claims.clone(),
-        ends.claims,
-        rings.claims.clone(),
-        stop(),
-    );
-    let send = claims::send::spawn(
-        context.clone(),
-        settings.claims.clone(),
-        secret.clone(),
-        ends.ledgers,
-        rings.claims.claims.clone(),
-        stop(),
-    );
-    let shift = shift::spawn(
-        context.clone(),
-        settings.shift,
-        ends.shift,
-        onward(context, rings),
-        rings.shifted.clone(),
-    );
-    let sources = shift::Sources {
-        shift: rings.shift.clone(),
-        peers: rings.peers.subscribe(),
-    };
-    let headroom = shift::ask(
-        context.clone(),
-        settings.shift,
-        secret.clone(),
-        sources,
-        stop(),
-    );
-    let placing = slots::spawn(
-        context.clone(),
-        settings.slots,
-        ends.slots,
-        rings.out.clone(),
-    );
-    let guard = poison::Guard {
-        topology: Arc::clone(&context.topology),
-        verdicts: rings.verdicts.clone(),
-        ring: rings.poison.clone(),
-    };
-    let relay = relay::spawn(context, settings.relay, ends.relay, slots(), guard, stop());
-    let poison = poison::spawn(
-        context.clone(),
-        settings.poison,
-        poison::Wires {
-            secret: secret.clone(),
-            seen: rings.seen.clone(),
-        },
-        ends.poison,
-        ends.verdicts,
-        [stop(), stop()],
-    );
-    let [poison_send, poison] = poison.context(ThreadSnafu { name: "poison" })?;
-    let forward = forward::spawn(
-        context.clone(),
-        settings.forward,
-        secret.clone(),
-        ends.forward,
-        slots(),
-        stop(),
-    );
-    let drain = drain::spawn(context.clone(), ends.drain);
-    let explain = explain::spawn(settings.explain, ends.explain);
-    Ok(vec![
-        poison_send,
-        poison,
-        named("drain", drain)?,
-        named("explain", explain)?,
-        named("lookup", lookup)?,
-        named("announce", announce)?,
-        named("shift", shift)?,
-        named("claims", claims)?,
-        named("claims-send", send)?,
-        named("headroom", headroom)?,
-        named("slots", placing)?,
-        named("relay", relay)?,
-        named("forward", forward)?,
-    ])
-}
-
-/// Starts the duty that follows the configuration.
-fn follow(
-    context: &Context,
-    settings: &Settings,
-    wires: Wires,
-    secret: &Secret,
-    stops: &mut Vec<oneshot::Sender<()>>,
-) -> Result<JoinHandle<()>, StartError> {
-    let (stop, stopped) = oneshot::channel();
-    stops.push(stop);
-    let spread = settings.spread.clone();
-    let thread = spread::spawn(context.clone(), spread, secret.clone(), wires, stopped);
-    thread.context(ThreadSnafu { name: "spread" })
-}
-
-fn subscribers(rings: &Rings) -> Subscribers {
-    Subscribers {
-        announce: rings.announce.clone(),
-        lookup: rings.lookup.clone(),
-        shift: rings.shift.clone(),
-        slots: rings.slots.clone(),
-        membership: rings.membership.clone(),
-    }
-}
-
-/// Reads how many messages wait in each ring.
-fn depths(rings: &Rings) -> admin::Depths {
-    let rings = rings.clone();
-    admin::Depths::new(move || {
-        vec![
-            ("ring_announce", rings.announce.depth()),
-            ("ring_claims", rings.claims.claims.depth()),
-            ("ring_claims_send", rings.claims.ledgers.depth()),
-            ("ring_drain", rings.out.drain.depth()),
-            ("ring_explain", rings.explain.depth()),
-            ("ring_forward", rings.out.forward.depth()),
-            ("ring_lookup", rings.lookup.depth()),
-            ("ring_membership", rings.membership.depth()),
-            ("ring_poison", rings.poison.depth()),
-            ("ring_relay", rings.out.relay.depth()),
-            ("ring_shift", rings.shift.depth()),
-            ("ring_slots", rings.slots.depth()),
-        ]
-    })
-}
-
-/// Opens the listeners.
-fn open(
-    context: &Context,
-    settings: &Settings,
-    rings: &Rings,
-    links: &Links,
-    tables: watch::Receiver<Arc<lookup::Table>>,
-    secret: &Secret,
-    module: RpcModule<()>,
-) -> Result<Open, StartError> {
-    let addresses = settings.listeners;
-    let listen = |name, address, secret, make: Box<dyn FnOnce() -> Handler + Send>| {
-        let listener = Listener {
-            name,
-            address,
-            limits: settings.limits,
-            secret,
-        };
-        edge::spawn(listener, context.clone(), make)
-    };
-    let region = &context.topology.regions[usize::from(context.topology.region_of(context.zone).0)];
-    let router = shift::Router {
-        shift: rings.shift.clone(),
-        onward: onward(context, rings),
-        shifted: rings.shifted.subscribe(),
-    };
-    let front = Front {
-        context: context.clone(),
-        lease: links.lease.clone(),
-        router,
-        tables,
-        group: claims::home::own(&settings.claims.groups, region),
-    };
-    let (told, announce) = (context.clone(), rings.announce.clone());
-    let (served, slots) = (context.clone(), rings.slots.clone());
-    let lease = links.lease.clone();
-    let arrivals = rings.shift.clone();
-    let board = admin::Board {
-        context: context.clone(),
-        slots: Some(rings.slots.clone()),
-        shift: Some(rings.shift.clone()),
-        drain: Some(rings.out.drain.clone()),
-        poison: Some(rings.poison.clone()),
-        depths: depths(rings),
-    };
-    let callers = Box::new(move || callers::handler(front));
-    let upstreams = Box::new(move || announce::handler(&told, announce));
-    let peers = Box::new(move || peers::handler(served, lease, module, slots, arrivals));
-    let admin = Box::new(move || admin::handler(board));
-    Ok(Open {
-        callers: listen("callers", addresses.callers, None, callers)?,
-        upstreams: listen("upstreams", addresses.upstreams, None, upstreams)?,
-        peers: listen("peers", addresses.peers, Some(secret.clone()), peers)?,
-        admin: listen("admin", addresses.admin, None, admin)?,
-    })
-}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod tests;
 pub mod topology;
+pub mod vm;
 
 use {
     section::{Finding, Section},
