Start every duty's thread in one place; ask several peers for room; refuse a malformed deadline

Cause: eight copies of a thread with a runtime and a stop, and a listener file with two jobs. In a surge one refusal by a full peer sent a request into its own queue while other zones had room. A request that found no slot asks up to forward.tries peers, each once; the reserve is counted in whole slots, so that six slots keep one and not two. A deadline-ms that is no number is refused as malformed, not ignored. Ruled out: marking a peer full until its next report, which hides slots freed meanwhile.

--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -11,6 +11,7 @@
     },
     crate::{
         context::Context,
+        duty,
         keys::{DiskKey, ExchangeKey, TicketKey},
         observe::{Event, report},
         policy::Policy,
@@ -61,9 +62,7 @@
     outlets: Outlets,
 ) -> io::Result<JoinHandle<()>> {
     let run = move || Duty::new(context, setup, outlets).run(&ring);
-    std::thread::Builder::new()
-        .name("agree".to_owned())
-        .spawn(run)
+    duty::spawn("agree", run)
 }
 
 /// Who waits for an answer.
--- a/src/agree/transport.rs
+++ b/src/agree/transport.rs
@@ -4,6 +4,7 @@
     super::{messages::Message, wire::Envelope},
     crate::{
         context::Context,
+        duty,
         edge::{Secret, client::Client, rpc},
         ring::Sender,
         sorted::Sorted,
@@ -11,10 +12,7 @@
     jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
     std::{fmt::Write, io, net::SocketAddr, thread::JoinHandle, time::Duration},
-    tokio::{
-        sync::{mpsc, oneshot},
-        task::LocalSet,
-    },
+    tokio::sync::{mpsc, oneshot},
 };
 
 const METHOD: &str = "agree.step";
@@ -51,17 +49,9 @@
     secret: Secret,
     ring: Sender<Message>,
 ) -> io::Result<(Outbox, JoinHandle<()>)> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
     let (outbox, packets) = mpsc::channel(OUTBOX);
-    let run = move || {
-        let local = LocalSet::new();
-        local.block_on(&runtime, sort(context, secret, ring, packets));
-    };
-    let thread = std::thread::Builder::new()
-        .name("agree-peers".to_owned())
-        .spawn(run)?;
+    let run = move || sort(context, secret, ring, packets);
+    let thread = duty::spawn_local("agree-peers", run)?;
     Ok((outbox, thread))
 }
 
--- a/src/announce/thread.rs
+++ b/src/announce/thread.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         context::Context,
+        duty,
         observe::{Event, report},
         ring::{Ring, Sender, Wait},
         slots,
@@ -34,9 +35,7 @@
         slots,
         state: State::default(),
     };
-    std::thread::Builder::new()
-        .name("announce".to_owned())
-        .spawn(move || duty.run(&ring))
+    duty::spawn("announce", move || duty.run(&ring))
 }
 
 struct Duty {
--- a/src/call.rs
+++ b/src/call.rs
@@ -30,6 +30,8 @@
     Stopping,
     /// No request kind of that name.
     UnknownKind,
+    /// A header of the request has a value that is not allowed.
+    Malformed,
     /// The request is larger than the settings allow.
     TooLarge,
     /// The request kind requires an idempotency key.
@@ -76,10 +78,11 @@
 
 impl Reason {
     /// Every reason, in the order of declaration.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::RingFull,
         Self::Stopping,
         Self::UnknownKind,
+        Self::Malformed,
         Self::TooLarge,
         Self::KeyMissing,
         Self::DeadlineExceeded,
@@ -114,6 +117,7 @@
             Self::RingFull => "ring_full",
             Self::Stopping => "stopping",
             Self::UnknownKind => "unknown_kind",
+            Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
             Self::KeyMissing => "key_missing",
             Self::DeadlineExceeded => "deadline_exceeded",
--- a/src/callers/decode.rs
+++ b/src/callers/decode.rs
@@ -41,10 +41,11 @@
     if row.once && (key.is_empty() || key.len() > LONGEST_KEY_BYTES) {
         return Err(Refusal::not_run(Reason::KeyMissing));
     }
-    let stated = incoming
-        .header(DEADLINE_HEADER)
-        .and_then(|value| number(value));
-    let limit = stated.unwrap_or(row.deadline_ms).min(LONGEST_DEADLINE_MS);
+    let limit = match incoming.header(DEADLINE_HEADER) {
+        Some(stated) => number(stated).ok_or(Refusal::not_run(Reason::Malformed))?,
+        None => row.deadline_ms,
+    };
+    let limit = limit.min(LONGEST_DEADLINE_MS);
     let meta = Meta {
         id,
         service,
--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -21,7 +21,7 @@
 #[must_use]
 pub const fn status_of(reason: Reason) -> u16 {
     match reason {
-        Reason::KeyMissing => 400,
+        Reason::KeyMissing | Reason::Malformed => 400,
         Reason::UnknownKind => 404,
         Reason::InProgress | Reason::MayHaveRun => 409,
         Reason::TooLarge => 413,
--- a/src/callers/tests.rs
+++ b/src/callers/tests.rs
@@ -62,6 +62,14 @@
     assert_eq!(decode(&context(), RequestId(1), keyed).unwrap().key, "k");
 }
 
+#[test]
+fn a_deadline_that_is_no_number_is_refused() {
+    for wrong in ["soon", "-1", ""] {
+        let request = request("/swapdesk/list", &[("deadline-ms", wrong)]);
+        assert_eq!(refusal(request), Reason::Malformed);
+    }
+}
+
 #[test]
 fn a_stated_deadline_goes_before_the_kind() {
     let context = context();
--- a/src/claims/send.rs
+++ b/src/claims/send.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         context::Context,
+        duty,
         edge::{Secret, client::Client},
         keys::TryKey,
         ledger::{
@@ -20,7 +21,6 @@
     std::{cell::Cell, io, net::SocketAddr, rc::Rc, thread::JoinHandle, time::Duration},
     tokio::{
         sync::{Semaphore, mpsc, oneshot},
-        task::LocalSet,
         time,
     },
 };
@@ -68,38 +68,27 @@
     claims: Sender<Message>,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let run = move || {
-        LocalSet::new().block_on(&runtime, async {
-            let limit = Duration::from_millis(settings.claim_ms);
-            let open = Rc::new(Cell::new(0_usize));
-            let peer = |(ledger, address): (usize, &SocketAddr)| {
-                start(Peer {
-                    ledger: u8::try_from(ledger).unwrap_or(u8::MAX),
-                    client: Client::new(*address, &secret, limit).ok(),
-                    context: context.clone(),
-                    claims: claims.clone(),
-                    calls: Semaphore::new(CALLS),
-                    open: Rc::clone(&open),
-                })
-            };
-            let groups = settings.groups.iter();
-            let groups = groups
-                .map(|group| group.ledgers.iter().enumerate().map(peer).collect())
-                .collect();
-            tokio::select! {
-                () = run(inbox, groups, &open) => {}
-                _ = stop => {}
-            }
-            // A release that is not sent would leave its key refused until it expires.
-            let _ = time::timeout(LINGER, finish(&open)).await;
-        });
-    };
-    std::thread::Builder::new()
-        .name("claims-send".to_owned())
-        .spawn(run)
+    duty::spawn_local("claims-send", move || async move {
+        let limit = Duration::from_millis(settings.claim_ms);
+        let open = Rc::new(Cell::new(0_usize));
+        let peer = |(ledger, address): (usize, &SocketAddr)| {
+            start(Peer {
+                ledger: u8::try_from(ledger).unwrap_or(u8::MAX),
+                client: Client::new(*address, &secret, limit).ok(),
+                context: context.clone(),
+                claims: claims.clone(),
+                calls: Semaphore::new(CALLS),
+                open: Rc::clone(&open),
+            })
+        };
+        let groups = settings.groups.iter();
+        let groups = groups
+            .map(|group| group.ledgers.iter().enumerate().map(peer).collect())
+            .collect();
+        duty::until(stop, run(inbox, groups, &open)).await;
+        // A release that is not sent would leave its key refused until it expires.
+        let _ = time::timeout(LINGER, finish(&open)).await;
+    })
 }
 
 /// Waits until no order is on its way.
--- a/src/claims/thread.rs
+++ b/src/claims/thread.rs
@@ -12,6 +12,7 @@
         call::{Call, Outcome, Ran, Reason, Refusal, Reply},
         clock::Micros,
         context::Context,
+        duty,
         keys::TryKey,
         ledger::{Attempt, Order},
         ring::{Outbox, Rejected, Ring, Sender, Wait},
@@ -57,9 +58,7 @@
         checked: Micros(0),
         stop,
     };
-    std::thread::Builder::new()
-        .name("claims".to_owned())
-        .spawn(move || duty.run(&ring))
+    duty::spawn("claims", move || duty.run(&ring))
 }
 
 struct Duty {
@@ -86,7 +85,7 @@
             };
             match ring.recv_within(limit) {
                 Wait::Message(message) => self.handle(message),
-                Wait::Timeout if self.is_stopped() => return,
+                Wait::Timeout if duty::is_closed(&mut self.stop) => return,
                 Wait::Timeout => {}
                 Wait::Closed => return,
             }
@@ -94,11 +93,6 @@
         }
     }
 
-    fn is_stopped(&mut self) -> bool {
-        use tokio::sync::oneshot::error::TryRecvError;
-        self.stop.try_recv() != Err(TryRecvError::Empty)
-    }
-
     fn handle(&mut self, message: Message) {
         match message {
             Message::Place(call) if self.runs_once(&call) => self.open(call),
--- a/src/drain/thread.rs
+++ b/src/drain/thread.rs
@@ -8,6 +8,7 @@
     },
     crate::{
         context::Context,
+        duty,
         observe::{Event, report},
         ring::{Ring, Wait},
     },
@@ -23,9 +24,7 @@
 /// # Errors
 /// The thread cannot start.
 pub fn spawn(context: Context, ring: Ring<Message>) -> io::Result<JoinHandle<()>> {
-    std::thread::Builder::new()
-        .name("drain".to_owned())
-        .spawn(move || run(&context, &ring))
+    duty::spawn("drain", move || run(&context, &ring))
 }
 
 fn run(context: &Context, ring: &Ring<Message>) {
--- /dev/null
+++ b/src/duty.rs
@@ -0,0 +1,63 @@
+//! Threads of duties: a name, and how they end.
+
+use {
+    std::{future::Future, io, thread::JoinHandle},
+    tokio::{
+        sync::oneshot::{self, error::TryRecvError},
+        task::LocalSet,
+    },
+};
+
+/// Runs a duty on a thread of its own.
+///
+/// # Errors
+/// The thread cannot start.
+///
+/// ```
+/// let thread = siskinstep::duty::spawn("adder", || assert_eq!(1 + 1, 2)).unwrap();
+/// assert!(thread.join().is_ok());
+/// ```
+pub fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name(name.to_owned()).spawn(run)
+}
+
+/// Runs a duty on a thread of its own with a single-threaded runtime, which carries local tasks
+/// as well. Those still open when the duty ends are dropped.
+///
+/// # Errors
+/// The thread or its runtime cannot start.
+///
+/// ```
+/// let thread = siskinstep::duty::spawn_local("waiter", || async {}).unwrap();
+/// assert!(thread.join().is_ok());
+/// ```
+pub fn spawn_local<F: Future<Output = ()>>(
+    name: &str,
+    make: impl FnOnce() -> F + Send + 'static,
+) -> io::Result<JoinHandle<()>> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    spawn(name, move || LocalSet::new().block_on(&runtime, make()))
+}
+
+/// Runs `duty` until it ends or `stop` closes.
+pub async fn until(stop: oneshot::Receiver<()>, duty: impl Future<Output = ()>) {
+    tokio::select! {
+        () = duty => {}
+        _ = stop => {}
+    }
+}
+
+/// Whether a channel has closed that a duty on a plain thread looks at between messages.
+///
+/// ```
+/// let (sender, mut stop) = tokio::sync::oneshot::channel();
+/// assert!(!siskinstep::duty::is_closed(&mut stop));
+/// drop(sender);
+/// assert!(siskinstep::duty::is_closed(&mut stop));
+/// ```
+#[must_use]
+pub fn is_closed(stop: &mut oneshot::Receiver<()>) -> bool {
+    stop.try_recv() != Err(TryRecvError::Empty)
+}
--- a/src/edge/listener.rs
+++ b/src/edge/listener.rs
@@ -2,22 +2,19 @@
 
 use {
     super::{
+        exchange::{self, Incoming, Outgoing},
         limits::Limits,
         paced::{Paced, Stalled},
         secret::{SECRET_HEADER, Secret},
     },
     crate::{
-        call::Header,
         context::Context,
         observe::{Event, report},
     },
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    http_body_util::Full,
     hyper::{
-        Request, Response, StatusCode,
-        body::Incoming as Body,
-        header::{HeaderName, HeaderValue},
-        server::conn::http1,
+        Request, Response, body::Incoming as Body, header::HeaderValue, server::conn::http1,
         service::service_fn,
     },
     hyper_util::rt::{TokioIo, TokioTimer},
@@ -39,84 +36,6 @@
 const STALL_CHECK: Duration = Duration::from_millis(500);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// A request, read to its last byte.
-#[derive(Clone, Debug)]
-pub struct Incoming {
-    /// Method, such as `GET`.
-    pub method: Bytes,
-    /// Path and query.
-    pub target: Bytes,
-    /// Headers in the order received.
-    pub headers: Vec<Header>,
-    /// Whole body.
-    pub body: Bytes,
-}
-
-impl Incoming {
-    /// The first header of that lower-case name.
-    ///
-    /// ```
-    /// # use siskinstep::edge::Incoming;
-    /// let request = Incoming { method: "GET".into(), target: "/".into(), headers: vec![],
-    ///     body: Default::default() };
-    /// assert!(request.header("deadline-ms").is_none());
-    /// ```
-    #[must_use]
-    pub fn header(&self, name: &str) -> Option<&Bytes> {
-        let header = self.headers.iter().find(|header| header.name == name)?;
-        Some(&header.value)
-    }
-
-    /// The path without its query.
-    #[must_use]
-    pub fn path(&self) -> &[u8] {
-        self.target
-            .split(|byte| *byte == b'?')
-            .next()
-            .unwrap_or_default()
-    }
-}
-
-/// An answer, whole.
-#[derive(Clone, Debug)]
-pub struct Outgoing {
-    /// HTTP status.
-    pub status: u16,
-    /// Headers.
-    pub headers: Vec<Header>,
-    /// Whole body.
-    pub body: Bytes,
-}
-
-impl Outgoing {
-    /// An answer with a content type.
-    ///
-    /// ```
-    /// let answer = siskinstep::edge::Outgoing::new(200, "text/plain", "hello");
-    /// assert_eq!(answer.status, 200);
-    /// ```
-    #[must_use]
-    pub fn new(status: u16, kind: &'static str, body: impl Into<Bytes>) -> Self {
-        let header = Header {
-            name: Bytes::from_static(b"content-type"),
-            value: Bytes::from_static(kind.as_bytes()),
-        };
-        Self {
-            status,
-            headers: vec![header],
-            body: body.into(),
-        }
-    }
-
-    /// A plain refusal of the edge itself; nothing was run.
-    #[must_use]
-    pub fn refusal(status: u16, reason: &str) -> Self {
-        let body =
-            serde_json::json!({"title": reason, "status": status, "reason": reason, "ran": "no"});
-        Self::new(status, "application/problem+json", body.to_string())
-    }
-}
-
 /// Turns a request into an answer, without blocking the thread.
 pub type Handler = Rc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Outgoing>>>>;
 
@@ -342,82 +261,29 @@
     };
     // A caller that is told so sends nothing on a connection that is about to end.
     let outgoing = if shared.context.stopping() {
-        closing(outgoing)
+        outgoing.closing()
     } else {
         outgoing
     };
-    Ok(encode(outgoing))
+    Ok(exchange::encode(outgoing))
 }
 
 async fn read(shared: &Shared, request: Request<Body>) -> Result<Incoming, Outgoing> {
-    let (head, body) = request.into_parts();
-    let headers: Vec<Header> = head.headers.iter().map(header).collect();
-    if let Some(secret) = &shared.listener.secret {
-        let given = head
-            .headers
-            .get(SECRET_HEADER)
-            .map_or(&b""[..], HeaderValue::as_bytes);
-        if !secret.matches(given) {
-            shared.context.metrics.count("unauthorized", 1);
-            report(
-                Event::UNAUTHORIZED,
-                format_args!("{}", shared.listener.name),
-            );
-            return Err(closing(Outgoing::refusal(401, "unauthorized")));
-        }
-    }
-    let body = read_body(&shared.listener.limits, body).await?;
-    let target = head
-        .uri
-        .path_and_query()
-        .map_or("/", |target| target.as_str());
-    Ok(Incoming {
-        method: Bytes::copy_from_slice(head.method.as_str().as_bytes()),
-        target: Bytes::copy_from_slice(target.as_bytes()),
-        headers,
-        body,
-    })
-}
-
-async fn read_body(limits: &Limits, body: Body) -> Result<Bytes, Outgoing> {
-    let limit = Duration::from_millis(limits.body_ms);
-    let collected = time::timeout(limit, Limited::new(body, limits.body_bytes).collect()).await;
-    match collected {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(closing(Outgoing::refusal(413, "too_large")))
-        }
-        Ok(Err(_)) => Err(closing(Outgoing::refusal(400, "malformed"))),
-        Err(_) => Err(closing(Outgoing::refusal(408, "body_timeout"))),
-    }
-}
-
-/// Marks an answer after which the connection must not be used again.
-fn closing(mut outgoing: Outgoing) -> Outgoing {
-    outgoing.headers.push(Header {
-        name: Bytes::from_static(b"connection"),
-        value: Bytes::from_static(b"close"),
-    });
-    outgoing
-}
-
-fn header((name, value): (&HeaderName, &HeaderValue)) -> Header {
-    Header {
-        name: Bytes::copy_from_slice(name.as_str().as_bytes()),
-        value: Bytes::copy_from_slice(value.as_bytes()),
+    if !is_authorized(shared, &request) {
+        shared.context.metrics.count("unauthorized", 1);
+        report(
+            Event::UNAUTHORIZED,
+            format_args!("{}", shared.listener.name),
+        );
+        return Err(Outgoing::refusal(401, "unauthorized").closing());
     }
+    exchange::read(&shared.listener.limits, request).await
 }
 
-fn encode(outgoing: Outgoing) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(outgoing.body));
-    let status = StatusCode::from_u16(outgoing.status);
-    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
-    for header in outgoing.headers {
-        let name = HeaderName::from_bytes(&header.name);
-        let value = HeaderValue::from_maybe_shared(header.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
-    response
+fn is_authorized(shared: &Shared, request: &Request<Body>) -> bool {
+    let Some(secret) = &shared.listener.secret else {
+        return true;
+    };
+    let given = request.headers().get(SECRET_HEADER);
+    secret.matches(given.map_or(&b""[..], HeaderValue::as_bytes))
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! typed message, offer it to a ring and await the answer; no decision is made here.
 
 pub mod client;
+pub mod exchange;
 pub mod limits;
 pub mod listener;
 pub mod outbound;
@@ -14,7 +15,8 @@
 mod tests;
 
 pub use {
+    exchange::{Incoming, Outgoing},
     limits::{LOOPBACK, Limits},
-    listener::{Handler, Incoming, Listener, Outgoing, Running, spawn},
+    listener::{Handler, Listener, Running, spawn},
     secret::Secret,
 };
--- a/src/edge/rpc.rs
+++ b/src/edge/rpc.rs
@@ -1,7 +1,7 @@
 //! JSON-RPC served over a bounded listener. `jsonrpsee` dispatches; the edge bounds and authorizes.
 
 use {
-    super::listener::{Handler, Incoming, Outgoing},
+    super::{Handler, Incoming, Outgoing},
     jsonrpsee::{RpcModule, types::ErrorObjectOwned},
     serde::{Serialize, de::DeserializeOwned},
     std::{rc::Rc, sync::Arc},
--- a/src/explain/thread.rs
+++ b/src/explain/thread.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{messages::Message, settings::Settings, state::State},
-    crate::ring::{Ring, Wait},
+    crate::{
+        duty,
+        ring::{Ring, Wait},
+    },
     std::{io, thread::JoinHandle, time::Duration},
 };
 
@@ -13,9 +16,7 @@
 /// # Errors
 /// The thread cannot start.
 pub fn spawn(settings: Settings, ring: Ring<Message>) -> io::Result<JoinHandle<()>> {
-    std::thread::Builder::new()
-        .name("explain".to_owned())
-        .spawn(move || run(settings, &ring))
+    duty::spawn("explain", move || run(settings, &ring))
 }
 
 fn run(settings: Settings, ring: &Ring<Message>) {
--- a/src/forward/decide.rs
+++ b/src/forward/decide.rs
@@ -19,6 +19,8 @@
     pub own: ZoneKey,
     /// Names that the settings declare.
     pub topology: &'a Topology,
+    /// Names of peers that have refused it.
+    pub tried: &'a [String],
 }
 
 /// The peer for a request. One for another zone goes to that zone, to the VM with the most room.
@@ -26,23 +28,23 @@
 /// this region, or of another region.
 pub(super) fn choose(state: &State, way: Way) -> Option<Peer> {
     if way.target != way.own {
-        return roomiest(state, way.service, |peer| peer.zone == way.target).map(|(_, peer)| peer);
+        return roomiest(state, way, |peer| peer.zone == way.target).map(|(_, peer)| peer);
     }
     (0..=FARTHEST).find_map(|far| {
         let near = |peer: &Peer| way.topology.distance(way.own, peer.zone) == far;
-        let (room, peer) = roomiest(state, way.service, near)?;
+        let (room, peer) = roomiest(state, way, near)?;
         (room > 0).then_some(peer)
     })
 }
 
-/// The peer with the most free slots of a service, less what is on its way there from here.
-fn roomiest(
-    state: &State,
-    service: ServiceKey,
-    fits: impl Fn(&Peer) -> bool,
-) -> Option<(i64, Peer)> {
-    let peers = state.rows.iter().filter(|(peer, _)| fits(peer));
-    let rooms = peers.map(|(peer, inflight)| (room(peer, service, *inflight), peer));
+/// The untried peer with the most free slots, less what is on its way there from here.
+fn roomiest(state: &State, way: Way, fits: impl Fn(&Peer) -> bool) -> Option<(i64, Peer)> {
+    let untried = |peer: &Peer| !way.tried.contains(&peer.name);
+    let peers = state
+        .rows
+        .iter()
+        .filter(|(peer, _)| untried(peer) && fits(peer));
+    let rooms = peers.map(|(peer, inflight)| (room(peer, way.service, *inflight), peer));
     let (room, peer) = rooms.max_by_key(|(room, _)| *room)?;
     Some((room, peer.clone()))
 }
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -13,6 +13,8 @@
     pub idle_max: usize,
     /// Bytes of an outcome at most.
     pub answer_bytes: usize,
+    /// Peers at most that are asked for a request that found no slot here.
+    pub tries: usize,
 }
 
 impl Default for Settings {
@@ -22,6 +24,7 @@
             idle_ms: 10_000,
             idle_max: 64,
             answer_bytes: 16 << 20,
+            tries: 3,
         }
     }
 }
@@ -35,6 +38,7 @@
             idle_ms: section.number("idle_ms", base.idle_ms, 1..=600_000),
             idle_max: section.size("idle_max", base.idle_max, 0..=1_024),
             answer_bytes: section.size("answer_bytes", base.answer_bytes, 1..=1 << 30),
+            tries: section.size("tries", base.tries, 1..=16),
         }
     }
 }
--- a/src/forward/tests.rs
+++ b/src/forward/tests.rs
@@ -36,6 +36,16 @@
 
 /// The peer for a request for `target` from a VM of `own`; zones 0 and 1 share a region.
 fn pick(state: &State, target: u16, service: u16, own: u16) -> Option<String> {
+    pick_untried(state, target, service, own, &[])
+}
+
+fn pick_untried(
+    state: &State,
+    target: u16,
+    service: u16,
+    own: u16,
+    tried: &[String],
+) -> Option<String> {
     let mut topology = Topology::default();
     topology.add_region("r0".to_owned(), vec!["z0".to_owned(), "z1".to_owned()]);
     topology.add_region("r1".to_owned(), vec!["z2".to_owned()]);
@@ -44,6 +54,7 @@
         service: ServiceKey(service),
         own: ZoneKey(own),
         topology: &topology,
+        tried,
     };
     choose(state, way).map(|peer| peer.name)
 }
@@ -78,6 +89,8 @@
         count(&mut state, name, true);
     }
     assert_eq!(own(&state, 0).as_deref(), Some("c"));
+    let tried = ["c".to_owned()];
+    assert_eq!(pick_untried(&state, 0, 0, 0, &tried), None);
     state.replace(vec![peer("a", 0, 0)]);
     assert_eq!(own(&state, 0), None);
     assert_eq!(pick(&state, 0, 0, 2).as_deref(), Some("a"));
--- a/src/forward/thread.rs
+++ b/src/forward/thread.rs
@@ -12,6 +12,7 @@
         call::{Call, Outcome, Ran, Reason, Refusal},
         cancel,
         context::Context,
+        duty,
         edge::{Secret, secret::SECRET_HEADER},
         explain::Step,
         relay::pool::{self, Connection, Pool},
@@ -22,7 +23,7 @@
     http_body_util::{BodyExt, Full, Limited},
     hyper::{Request, header::HOST},
     std::{cell::RefCell, io, rc::Rc, thread::JoinHandle, time::Duration},
-    tokio::{sync::oneshot, task::LocalSet, time},
+    tokio::{sync::oneshot, time},
 };
 
 const EVICT_INTERVAL: Duration = Duration::from_secs(1);
@@ -40,10 +41,7 @@
     slots: ring::Sender<slots::Message>,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let run = move || {
+    duty::spawn_local("forward", move || {
         let duty = Rc::new(Duty {
             context,
             settings,
@@ -52,16 +50,8 @@
             state: RefCell::default(),
             pool: RefCell::default(),
         });
-        LocalSet::new().block_on(&runtime, async {
-            tokio::select! {
-                () = run(&duty, inbox) => {}
-                _ = stop => {}
-            }
-        });
-    };
-    std::thread::Builder::new()
-        .name("forward".to_owned())
-        .spawn(run)
+        duty::until(stop, run(duty, inbox))
+    })
 }
 
 struct Duty {
@@ -73,13 +63,13 @@
     pool: RefCell<Pool>,
 }
 
-async fn run(duty: &Rc<Duty>, mut inbox: Inbox<Message>) {
+async fn run(duty: Rc<Duty>, mut inbox: Inbox<Message>) {
     let keep = Duration::from_millis(duty.settings.idle_ms);
     let mut evict = time::interval(EVICT_INTERVAL);
     loop {
         tokio::select! {
             message = inbox.recv() => match message {
-                Some(Message::Send(call)) => start(duty, call),
+                Some(Message::Send(call)) => start(&duty, call),
                 Some(Message::Peers(peers)) => duty.state.borrow_mut().replace(peers),
                 None => return,
             },
@@ -88,27 +78,46 @@
     }
 }
 
-fn start(duty: &Rc<Duty>, mut call: Call) {
+fn start(duty: &Rc<Duty>, call: Call) {
     let duty = Rc::clone(duty);
-    tokio::task::spawn_local(async move {
+    tokio::task::spawn_local(async move { duty.carry(call).await });
+}
+
+impl Duty {
+    /// Takes the request to a peer; one that found no slot here may try several.
+    async fn carry(&self, mut call: Call) {
+        let spills = call.meta.target == self.context.zone;
+        let mut tried = Vec::new();
+        let mut reason = Reason::PeerUnreachable;
+        while let Some(peer) = self.choose(&call, &tried) {
+            let outcome = self.exchange(&peer, &mut call).await;
+            let refused = outcome
+                .as_ref()
+                .is_err_and(|refusal| refusal.ran == Ran::No);
+            tried.push(peer.name);
+            if !refused || !spills || tried.len() >= self.settings.tries {
+                return self.end(call, outcome);
+            }
+            call.mark_unsent();
+            if let Err(refusal) = outcome {
+                reason = refusal.reason;
+                self.context.metrics.retry(reason);
+            }
+        }
+        self.bring_back(call, reason);
+    }
+
+    fn choose(&self, call: &Call, tried: &[String]) -> Option<Peer> {
         let way = Way {
             target: call.meta.target,
             service: call.meta.service,
-            own: duty.context.zone,
-            topology: &duty.context.topology,
+            own: self.context.zone,
+            topology: &self.context.topology,
+            tried,
         };
-        let chosen = decide::choose(&duty.state.borrow(), way);
-        match chosen {
-            Some(peer) => {
-                let outcome = duty.exchange(&peer, &mut call).await;
-                duty.end(call, outcome);
-            }
-            None => duty.bring_back(call, Reason::PeerUnreachable),
-        }
-    });
-}
+        decide::choose(&self.state.borrow(), way)
+    }
 
-impl Duty {
     /// Sends the request to `peer` and reads its outcome.
     async fn exchange(&self, peer: &Peer, call: &mut Call) -> Outcome {
         decide::count(&mut self.state.borrow_mut(), &peer.name, true);
--- a/src/ledger/adopt.rs
+++ b/src/ledger/adopt.rs
@@ -9,7 +9,7 @@
         thread::Message,
     },
     crate::{
-        clock,
+        clock, duty,
         edge::{Secret, client::Client},
         ring::Sender,
     },
@@ -35,10 +35,7 @@
     ring: Sender<Message>,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let run = move || {
+    duty::spawn_local("ledger-join", move || async move {
         let clients = others
             .iter()
             .map(|at| Client::new(*at, &secret, CALL_LIMIT));
@@ -47,16 +44,8 @@
         if clients.len() < others.len() {
             return;
         }
-        runtime.block_on(async {
-            tokio::select! {
-                () = adopt(settings, &clients, &ring) => {}
-                _ = stop => {}
-            }
-        });
-    };
-    std::thread::Builder::new()
-        .name("ledger-join".to_owned())
-        .spawn(run)
+        duty::until(stop, adopt(settings, &clients, &ring)).await;
+    })
 }
 
 async fn adopt(settings: Settings, clients: &[Client], ring: &Sender<Message>) {
--- a/src/ledger/thread.rs
+++ b/src/ledger/thread.rs
@@ -11,6 +11,7 @@
     crate::{
         clock,
         context::Context,
+        duty,
         observe::{Event, report},
         ring::{Ring, Wait},
     },
@@ -73,9 +74,7 @@
         answers: Vec::new(),
         full: false,
     };
-    std::thread::Builder::new()
-        .name("ledger".to_owned())
-        .spawn(move || duty.run(&ring))
+    duty::spawn("ledger", move || duty.run(&ring))
 }
 
 struct Duty {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cancel;
 pub mod clock;
 pub mod context;
+pub mod duty;
 pub mod keys;
 pub mod ring;
 pub mod settings;
--- a/src/lookup/thread.rs
+++ b/src/lookup/thread.rs
@@ -7,7 +7,7 @@
         settings::Settings,
         state::State,
     },
-    crate::{context::Context, ring::Ring},
+    crate::{context::Context, duty, ring::Ring},
     std::{io, sync::Arc, thread::JoinHandle},
     tokio::sync::watch,
 };
@@ -23,9 +23,7 @@
     tables: watch::Sender<Arc<Table>>,
 ) -> io::Result<JoinHandle<()>> {
     let run = move || run(&context, settings, &ring, &tables);
-    std::thread::Builder::new()
-        .name("lookup".to_owned())
-        .spawn(run)
+    duty::spawn("lookup", run)
 }
 
 fn run(
--- a/src/membership/thread.rs
+++ b/src/membership/thread.rs
@@ -12,6 +12,7 @@
     crate::{
         clock::Micros,
         context::Context,
+        duty,
         edge::Secret,
         observe::{Event, report},
         ring::{self, Ring, Wait},
@@ -112,9 +113,7 @@
         answers,
         answered,
     };
-    std::thread::Builder::new()
-        .name("membership".to_owned())
-        .spawn(move || duty.run(&ring))
+    duty::spawn("membership", move || duty.run(&ring))
 }
 
 struct Duty {
--- a/src/poison/send.rs
+++ b/src/poison/send.rs
@@ -7,12 +7,13 @@
     },
     crate::{
         context::Context,
+        duty,
         edge::{Secret, client::Client},
         membership::messages::Seen,
         ring::Inbox,
     },
     std::{io, thread::JoinHandle, time::Duration},
-    tokio::{sync::oneshot, task::LocalSet},
+    tokio::sync::oneshot,
 };
 
 const CALL_LIMIT: Duration = Duration::from_secs(1);
@@ -33,20 +34,9 @@
     inbox: Inbox<News>,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let run = move || {
-        LocalSet::new().block_on(&runtime, async {
-            tokio::select! {
-                () = run(context, seen, secret, inbox) => {}
-                _ = stop => {}
-            }
-        });
-    };
-    std::thread::Builder::new()
-        .name("poison-send".to_owned())
-        .spawn(run)
+    duty::spawn_local("poison-send", move || {
+        duty::until(stop, run(context, seen, secret, inbox))
+    })
 }
 
 async fn run(context: Context, seen: Seen, secret: Secret, mut inbox: Inbox<News>) {
--- a/src/poison/thread.rs
+++ b/src/poison/thread.rs
@@ -12,6 +12,7 @@
     crate::{
         clock::Micros,
         context::Context,
+        duty,
         edge::Secret,
         ledger::Fingerprint,
         membership::messages::Seen,
@@ -68,9 +69,7 @@
         probed: Micros(0),
         stop,
     };
-    let thread = std::thread::Builder::new()
-        .name("poison".to_owned())
-        .spawn(move || duty.run(&ring))?;
+    let thread = duty::spawn("poison", move || duty.run(&ring))?;
     Ok([sending, thread])
 }
 
@@ -95,7 +94,7 @@
             };
             match ring.recv_within(limit) {
                 Wait::Message(message) => self.handle(message),
-                Wait::Timeout if self.is_stopped() => return,
+                Wait::Timeout if duty::is_closed(&mut self.stop) => return,
                 Wait::Timeout => {}
                 Wait::Closed => return,
             }
@@ -103,10 +102,6 @@
         }
     }
 
-    fn is_stopped(&mut self) -> bool {
-        self.stop.try_recv() != Err(oneshot::error::TryRecvError::Empty)
-    }
-
     fn handle(&mut self, message: Message) {
         let now = self.context.clock.now();
         match message {
--- a/src/relay/thread.rs
+++ b/src/relay/thread.rs
@@ -10,12 +10,13 @@
     },
     crate::{
         context::Context,
+        duty,
         poison::Guard,
         ring::{self, Inbox},
         slots,
     },
     std::{cell::RefCell, io, rc::Rc, thread::JoinHandle, time::Duration},
-    tokio::{sync::oneshot, task::LocalSet, time},
+    tokio::{sync::oneshot, time},
 };
 
 const EVICT_INTERVAL: Duration = Duration::from_secs(1);
@@ -35,28 +36,16 @@
     guard: Guard,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
     let context = context.clone();
-    let run = move || {
-        let local = LocalSet::new();
+    duty::spawn_local("relay", move || {
         let tools = Tools {
             context,
             settings,
             pool: Rc::new(RefCell::new(Pool::default())),
             paths: Rc::new(RefCell::new(Paths::default())),
         };
-        local.block_on(&runtime, async {
-            tokio::select! {
-                () = run(tools, inbox, slots, guard) => {}
-                _ = stop => {}
-            }
-        });
-    };
-    std::thread::Builder::new()
-        .name("relay".to_owned())
-        .spawn(run)
+        duty::until(stop, run(tools, inbox, slots, guard))
+    })
 }
 
 async fn run(
--- a/src/shift/ask.rs
+++ b/src/shift/ask.rs
@@ -10,6 +10,7 @@
     crate::{
         clock::Micros,
         context::Context,
+        duty,
         edge::{Secret, client::Client, rpc},
         forward::Peer,
         ring::Sender,
@@ -62,9 +63,6 @@
     sources: Sources,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
     let asker = Asker {
         context,
         settings,
@@ -72,17 +70,7 @@
         sources,
         clients: Vec::new(),
     };
-    let run = move || {
-        runtime.block_on(async {
-            tokio::select! {
-                () = asker.run() => {}
-                _ = stop => {}
-            }
-        });
-    };
-    std::thread::Builder::new()
-        .name("headroom".to_owned())
-        .spawn(run)
+    duty::spawn_local("headroom", move || duty::until(stop, asker.run()))
 }
 
 struct Asker {
--- a/src/shift/thread.rs
+++ b/src/shift/thread.rs
@@ -8,7 +8,7 @@
         settings::Settings,
         state::{Row, State},
     },
-    crate::{call::Call, context::Context, explain::Step, ring::Ring},
+    crate::{call::Call, context::Context, duty, explain::Step, ring::Ring},
     std::{io, sync::Arc, thread::JoinHandle},
     tokio::sync::watch,
 };
@@ -32,9 +32,7 @@
         shifted,
         state: State::default(),
     };
-    std::thread::Builder::new()
-        .name("shift".to_owned())
-        .spawn(move || duty.run(&ring))
+    duty::spawn("shift", move || duty.run(&ring))
 }
 
 struct Duty {
--- a/src/slots/thread.rs
+++ b/src/slots/thread.rs
@@ -17,6 +17,7 @@
         clock::Micros,
         context::Context,
         drain::{self, Closing},
+        duty,
         explain::Step,
         forward,
         keys::{FlightKey, ServiceKey, UpstreamKey, WaitKey},
@@ -52,9 +53,7 @@
         told: None,
         idle: Vec::new(),
     };
-    std::thread::Builder::new()
-        .name("slots".to_owned())
-        .spawn(move || duty.run(&ring))
+    duty::spawn("slots", move || duty.run(&ring))
 }
 
 /// Where calls go from here.
--- a/src/slots/visit.rs
+++ b/src/slots/visit.rs
@@ -31,7 +31,7 @@
         slots += u64::from(row.said.slots);
         used += u64::from(row.used());
     }
-    let after = slots.saturating_sub(used + 1);
-    let fits = after * WHOLE_PERMILLE >= settings.reserve_permille * slots;
+    let reserve = slots * settings.reserve_permille / WHOLE_PERMILLE;
+    let fits = used + 1 + reserve <= slots;
     fits && queue::has_room(state, settings, request, now)
 }
--- a/src/spread/thread.rs
+++ b/src/spread/thread.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         context::Context,
+        duty,
         edge::Secret,
         membership::messages::Seen,
         observe::{Event, report},
@@ -49,9 +50,6 @@
     wires: Wires,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
     let mut duty = Duty {
         context,
         settings,
@@ -62,17 +60,9 @@
         polls: 0,
         started: false,
     };
-    let run = move || {
-        runtime.block_on(async {
-            tokio::select! {
-                () = duty.run() => {}
-                _ = stop => {}
-            }
-        });
-    };
-    std::thread::Builder::new()
-        .name("spread".to_owned())
-        .spawn(run)
+    duty::spawn_local("spread", move || async move {
+        duty::until(stop, duty.run()).await;
+    })
 }
 
 pub(super) struct Duty {
--- a/src/storage/thread.rs
+++ b/src/storage/thread.rs
@@ -6,6 +6,7 @@
         messages::{Ack, Batch, Recovered},
     },
     crate::{
+        duty,
         keys::DiskKey,
         ring::{Ring, Wait},
     },
@@ -52,9 +53,7 @@
             next = interrupted.or_else(|| ring.recv());
         }
     };
-    std::thread::Builder::new()
-        .name("storage".to_owned())
-        .spawn(run)
+    duty::spawn("storage", run)
 }
 
 /// Tries until the batch is durable, the ring closes, or a message comes that makes it void.
