--- a/src/dev/run.rs
+++ b/src/dev/run.rs
@@ -156,7 +156,11 @@
         secret.display()
     );
     println!("\nmetrics   curl http://{}/metrics", entry.admin());
-    println!("try next  siskinstep {flags} drain upstream/sample-1");
+    // The program may not be on the search path.
+    let program = std::env::args()
+        .next()
+        .unwrap_or_else(|| "siskinstep".to_owned());
+    println!("try next  {program} {flags} drain upstream/sample-1");
     println!(
         "then      curl -d 'cell 3' http://{}/{SERVICE}/{KIND}/buoy-7",
         entry.callers()
