Try an upstream again that refused with room, within the users' windows

Requests of the short zones that found no room at home went to the other zone of the region, as short: 46 in 100 of these failed. And the budget of further attempts counted all requests since the start: a VM could save up more than any window allows.

Changed: an upstream that refuses with room is tried a second time, and counts as failing in part; the budget counts the last window alone (budget.rs), three quarters of the users' bound in place of half; the region goes after others where fewer of its answers come in time.

--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        budget::Budget,
         moves::Moves,
         reach::Reach,
         settings::Settings,
@@ -83,7 +84,7 @@
         work: [FIRST_TOOK; DISTANCES],
         usual: [Usual::default(); DISTANCES],
         ends: Rate::default(),
-        retries: 0.0,
+        budget: Budget::new(settings.retry_ms),
         moves: Moves::new(settings.move_permille, settings.move_ms),
         reach: Reach::default(),
     }
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -3,14 +3,14 @@
 use {
     super::{
         learn, place,
-        state::{Basis, Effect, Flight, Pool, State},
+        state::{Basis, Effect, Flight, State},
     },
     crate::{
         call::{Ran, Reason, Refusal},
         catalog::Route,
         clock::Micros,
         courier::Ended,
-        keys::FlightKey,
+        keys::{FlightKey, UpstreamKey},
     },
     std::sync::Arc,
 };
@@ -70,23 +70,17 @@
         until,
         upstream: None,
         tried: Vec::new(),
+        again: None,
         ran: 0,
     };
     if let Some(pool) = state.pools.get_mut(&service) {
-        earn(pool, &state.settings);
+        pool.budget.note(now);
     }
     let key = state.flights.insert(flight);
     place_or_wait(state, key, asked.random, now);
     Ok((key, name))
 }
 
-/// First attempts earn further ones.
-#[allow(clippy::cast_precision_loss, reason = "settings of a few hundred")]
-fn earn(pool: &mut Pool, settings: &super::Settings) {
-    let most = settings.retry_slack as f64;
-    pool.retries = (pool.retries + settings.retry_permille as f64 / MILLI).min(most);
-}
-
 /// When a request must have been sent: so that it meets its objective, or promptly.
 fn start_by(route: &Route, took: f64, now: Micros) -> Micros {
     #[allow(
@@ -300,11 +294,27 @@
             state.out.push(Effect::Deliver(key));
         }
         Ended::Misdirected => again(state, key, Reason::AnswerMismatch, Ran::No, random, now),
-        Ended::Failed { reason, ran, .. } => again(state, key, reason, ran, random, now),
+        Ended::Failed { reason, ran, load } => {
+            let refused = reason == Reason::UpstreamRefused;
+            if refused && load.is_some_and(|load| load.running < load.slots) {
+                let tried = upstream.map(|(upstream, _)| upstream);
+                try_there_again(state, key, tried);
+            }
+            again(state, key, reason, ran, random, now);
+        }
     }
     look(state, &service, random, now);
 }
 
+/// An upstream refused with room: that says little of the next time.
+fn try_there_again(state: &mut State, key: FlightKey, tried: Option<UpstreamKey>) {
+    if let Some(flight) = state.flights.get_mut(key) {
+        let is_first =
+            |key: &UpstreamKey| flight.tried.iter().filter(|row| *row == key).count() < 2;
+        flight.again = tried.filter(is_first);
+    }
+}
+
 /// What the end of a first attempt says of how far requests should go.
 fn note_reach(state: &mut State, key: FlightKey, basis: Basis, ended: Ended, now: Micros) {
     let Some(flight) = state.flights.get(key) else {
@@ -326,6 +336,7 @@
 }
 
 /// Tries a request again if that is safe and allowed; otherwise it ends.
+#[allow(clippy::cast_precision_loss, reason = "a setting of a few hundred")]
 fn again(state: &mut State, key: FlightKey, reason: Reason, ran: Ran, random: u64, now: Micros) {
     let Some(flight) = state.flights.get_mut(key) else {
         return;
@@ -347,13 +358,14 @@
         return refuse(state, key, reason, ran, random, now);
     }
     if arrived {
+        let permille = state.settings.retry_permille;
+        let besides = state.settings.retry_slack as f64 / f64::from(state.all_entries());
         let Some(pool) = state.pools.get_mut(&service) else {
             return refuse(state, key, reason, ran, random, now);
         };
-        if pool.retries < 1.0 {
+        if !pool.budget.take(permille, besides, now) {
             return refuse(state, key, Reason::RetryBudget, ran, random, now);
         }
-        pool.retries -= 1.0;
     }
     state.out.push(Effect::Again(reason));
     if !send(state, key, now) {
--- a/src/steer/learn.rs
+++ b/src/steer/learn.rs
@@ -88,6 +88,10 @@
                     waiting: 0,
                     slots: 0,
                 };
+                let has_room = load.is_some_and(|load| load.running < load.slots);
+                if has_room {
+                    upstream.bad += NEWEST * (1.0 - upstream.bad);
+                }
                 upstream.hear(load.unwrap_or(full), now);
             }
             Reason::Cancelled | Reason::DeadlineExceeded => {}
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -3,6 +3,7 @@
 //! Every entry VM decides alone, from the catalogue, its own requests in flight and the load that
 //! upstreams tell in their answers.
 
+mod budget;
 mod catalog;
 mod decide;
 mod learn;
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -33,7 +33,8 @@
     upstream: &Upstream,
     now: Micros,
 ) -> bool {
-    if !upstream.open || now < upstream.rests || flight.tried.contains(&key) {
+    let is_tried = flight.tried.contains(&key) && flight.again != Some(key);
+    if !upstream.open || now < upstream.rests || is_tried {
         return false;
     }
     let homes = &flight.route.homes;
@@ -212,11 +213,7 @@
     let mut best: Option<(Candidate, usize)> = None;
     let has_to_leave = pool.moves.has_to_leave();
     let stays = pool.reach.stays(flight.affinity);
-    let order: [usize; DISTANCES] = if has_to_leave || !stays {
-        [2, 0, 1]
-    } else {
-        [0, 1, 2]
-    };
+    let order = pool.reach.order(has_to_leave || !stays, now);
     for row in order {
         for (at, candidate) in first[row].iter_mut().enumerate() {
             let Some(candidate) = candidate else { continue };
--- a/src/steer/reach.rs
+++ b/src/steer/reach.rs
@@ -59,6 +59,18 @@
         place <= self.kept
     }
 
+    /// Distances in the order in which they are tried. Beyond the first, the own region goes before others
+    /// unless fewer of its answers come in time.
+    pub(super) fn order(&self, leaves: bool, now: Micros) -> [usize; DISTANCES] {
+        if leaves {
+            return [2, 0, 1];
+        }
+        match (self.read(1, now), self.read(2, now)) {
+            (Some(region), Some(far)) if region < far - WORSE => [0, 2, 1],
+            _ => [0, 1, 2],
+        }
+    }
+
     /// Begins with a part, before anything is known.
     pub(super) fn begin(&mut self, kept: f64) {
         self.kept = kept.clamp(0.0, 1.0);
--- a/src/steer/settings.rs
+++ b/src/steer/settings.rs
@@ -9,6 +9,8 @@
     pub retry_permille: u64,
     /// Further attempts that are allowed besides, in each window, over all entry VMs.
     pub retry_slack: u64,
+    /// Milliseconds of that window.
+    pub retry_ms: u64,
     /// Most that the share of requests which change region may rise or fall from one window to the next.
     pub move_permille: u64,
     /// Milliseconds of that window.
@@ -28,9 +30,12 @@
         Self {
             // As long as the patient of the users' callers.
             patience_ms: 10_000,
-            // Half of the users' bound, as each VM counts alone.
-            retry_permille: 100,
+            // Three quarters of the users' usual bound: upstreams count what they are sent, which is more
+            // than what this VM knows to have arrived.
+            retry_permille: 150,
             retry_slack: 20,
+            // The users' usual window.
+            retry_ms: 10_000,
             // Half of the users' bound.
             move_permille: 75,
             move_ms: 2_000,
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -1,7 +1,7 @@
 //! What an entry VM knows of upstreams and of requests on their way.
 
 use {
-    super::{moves::Moves, reach::Reach, settings::Settings},
+    super::{budget::Budget, moves::Moves, reach::Reach, settings::Settings},
     crate::{
         call::{Reason, Refusal},
         catalog::{Kind, Route, Service},
@@ -121,8 +121,8 @@
     pub(super) usual: [Usual; DISTANCES],
     /// Attempts that ended here a second, as a moving average.
     pub(super) ends: Rate,
-    /// Further attempts that may be made.
-    pub(super) retries: f64,
+    /// First and further attempts.
+    pub(super) budget: Budget,
     /// Requests that leave the region.
     pub(super) moves: Moves,
     /// Affinity keys that leave it.
@@ -165,6 +165,8 @@
     pub(super) upstream: Option<(UpstreamKey, Basis)>,
     /// Where it has been.
     pub(super) tried: Vec<UpstreamKey>,
+    /// Of these, one that refused it with room: worth a second try, as it may know the object.
+    pub(super) again: Option<UpstreamKey>,
     /// Upstreams that it may have run on.
     pub(super) ran: u32,
 }
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -1,3 +1,4 @@
+mod budget;
 mod load;
 mod reach;
 
@@ -356,6 +357,36 @@
     assert!(shares[5] > shares[0], "{shares:?}");
 }
 
+/// One that refuses though it has room says little of the next time, and may know the object; one that is
+/// full does not get it again.
+#[test]
+fn an_upstream_that_refuses_with_room_is_tried_once_more() {
+    for (running, sends) in [(1, ["first", "first"]), (4, ["first", "other"])] {
+        let mut world = World::new(&[("a1", at("a", 1)), ("a2", at("a", 2))]);
+        let flight = world.ask("/one/x", 42);
+        world.answer(flight);
+        world.effects();
+        let flight = world.ask("/one/x", 42);
+        let first = world.effects()[0].clone();
+        let load = Some(Load {
+            running,
+            waiting: 0,
+            slots: 4,
+        });
+        let refused = Ended::Failed {
+            reason: Reason::UpstreamRefused,
+            ran: Ran::No,
+            load,
+        };
+        world.end(flight, refused);
+        let again = world.effects();
+        let second = if again[1] == first { "first" } else { "other" };
+        assert_eq!(["first", second], sends, "{again:?}");
+        world.end(flight, refused);
+        assert_ne!(world.effects()[1], again[1], "not a third time");
+    }
+}
+
 #[test]
 fn an_unknown_path_and_an_unknown_configuration_are_told_apart() {
     let mut world = World::new(&[]);
