--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -17,8 +17,6 @@
 const COLD_BURST: f64 = 1.0;
 /// Failures in a row from which an upstream is taken for gone: over a second of them.
 const GONE_FAILS: u32 = 4;
-/// Part of all slots that a fleet is expected to use: the other half is for when a zone is lost.
-const IN_USE: f64 = 0.5;
 /// Thousandths in a whole.
 const MILLI: f64 = 1_000.0;
 /// Upstreams that an affinity key keeps to, by distance: a second one of the own zone for when the first is
@@ -125,7 +123,8 @@
 }
 
 /// Part of the region's requests that its own upstreams are expected to carry, before anything was sent:
-/// its part of all slots set against its part of the entry VMs, which stand where callers are.
+/// its part of all slots set against its part of the entry VMs, which stand where callers are. So every
+/// slot gets its fair share of the load, and what can stay comes back later.
 pub(super) fn carries(state: &State, pool: &Pool) -> f64 {
     let (mut all, mut own) = (0.0, 0.0);
     for key in &pool.upstreams {
@@ -149,7 +148,7 @@
         .map(|row| row.1)
         .sum();
     let asked = f64::from(near.max(1)) / f64::from(state.all_entries());
-    own / f64::max(all, 1.0) / asked / IN_USE
+    own / f64::max(all, 1.0) / asked
 }
 
 /// The upstream for `flight`, if there is one at which it is of use now.
