Write log lines from a thread of their own, bounded, with fields

Cause: log lines were written by the thread that made them, to a reader that may stop; a flood of refusals had no bound, and a program that read them had to take sentences apart.

Changed: src/lines, a duty: a ring, a writer, a rate for each event, half of the ring for warnings. On the platform lines are JSON on standard output, with fields for what decided: placed (E1310, new), refused, failed. The product's text lines are as before. Ruled out: dropping lines at the writer alone, as formatting would go on waiting.

Tests: a flood leaves room for others and is counted, a reader that has stopped stops nobody.

--- a/src/call.rs
+++ b/src/call.rs
@@ -20,6 +20,21 @@
     Unknown,
 }
 
+impl Ran {
+    /// Its name in answers and log lines.
+    ///
+    /// ```
+    /// assert_eq!(siskinstep::call::Ran::Unknown.name(), "unknown");
+    /// ```
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::No => "no",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Why a request was refused. Each reason is a counter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        lines,
         observe::{self, Event, report},
         settings::{self, SettingsError, section::Section},
     },
@@ -45,6 +46,7 @@
     };
     signals.forever().next();
     stop(process);
+    lines::finish();
     ExitCode::SUCCESS
 }
 
@@ -55,5 +57,6 @@
 
 fn fatal(error: &dyn Display) -> ExitCode {
     report(Event::FATAL, format_args!("{error}"));
+    lines::finish();
     ExitCode::FAILURE
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod admin;
 pub mod edge;
 pub mod explain;
+pub mod lines;
 pub mod observe;
 
 // Processes.
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -1,6 +1,9 @@
 //! The catalogue of numbered log events. `docs/EVENTS.md` lists the same rows.
 
-use {log::Level, std::fmt::Arguments};
+use {
+    log::{Level, Metadata, Record, kv::Value},
+    std::fmt::Arguments,
+};
 
 /// One row of the catalogue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +52,7 @@
     CONFIG_APPLIED = 1301 Info "Configuration applied", "None.";
     CONTROL_UNREACHABLE = 1302 Warn "No control VM could be reached", "Check control VMs and the network; traffic goes on with the last configuration.";
     CONTROL_REACHED = 1303 Info "A control VM answers", "None.";
+    PLACED = 1310 Info "Request sent to an upstream", "None; the line says what decided it.";
     REFUSED = 1311 Warn "Request ended without an upstream's answer", "Read the reason in `docs/limits.md`; look up the request's other lines by its name.";
     ATTEMPT_FAILED = 1312 Warn "Attempt at an upstream failed", "Check the upstream if it repeats.";
     RING_FULL = 1401 Warn "Ring between two duties was full", "The VM is overloaded; add entry VMs.";
@@ -92,7 +96,35 @@
 /// report(Event::STARTED, format_args!("entry-1"));
 /// ```
 pub fn report(event: Event, detail: Arguments<'_>) {
-    log::log!(event.level, "E{} {}: {detail}", event.code, event.meaning);
+    note(event, &[], detail);
+}
+
+/// Logs an event with what it rests on by name, for programs that read the lines.
+///
+/// ```
+/// use siskinstep::observe::{Event, note};
+/// note(Event::REFUSED, &[("reason", "no_slot".into())], format_args!("r-1 no_slot"));
+/// ```
+pub fn note(event: Event, fields: &[(&str, Value<'_>)], detail: Arguments<'_>) {
+    let code = format!("E{}", event.code);
+    let number = [("event", Value::from(&*code))];
+    let logger = log::logger();
+    let metadata = Metadata::builder()
+        .level(event.level)
+        .target(module_path!())
+        .build();
+    if event.level > log::max_level() || !logger.enabled(&metadata) {
+        return;
+    }
+    let all: Vec<(&str, Value<'_>)> = number.iter().chain(fields).cloned().collect();
+    let all = &*all;
+    logger.log(
+        &Record::builder()
+            .metadata(metadata)
+            .key_values(&all)
+            .args(format_args!("{code} {}: {detail}", event.meaning))
+            .build(),
+    );
 }
 
 /// The catalogue as the table of `docs/EVENTS.md`.
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -5,14 +5,14 @@
 #[cfg(test)]
 mod tests;
 
+use crate::lines;
+
 pub use {
-    events::{Event, report},
+    events::{Event, note, report},
     metrics::Metrics,
 };
 
 /// Starts logging to standard error; `RUST_LOG` overrides the level `info`.
 pub fn start_log() {
-    let env = env_logger::Env::default().default_filter_or("info");
-    // A second start, as in tests, keeps the first logger.
-    let _ = env_logger::Builder::from_env(env).try_init();
+    lines::start(lines::text, std::io::stderr());
 }
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -17,7 +17,7 @@
         courier::{Dispatch, Ended, Report, Target},
         duty,
         keys::FlightKey,
-        observe::{Event, report},
+        observe::{Event, note, report},
         ring::{Outbox, Ring, Wait},
     },
     slotmap::SecondaryMap,
@@ -51,6 +51,8 @@
     payload: Arc<Payload>,
     cancel: Cancel,
     reply: Reply,
+    /// The upstream that it was sent to last.
+    upstream: Arc<str>,
 }
 
 struct Duty {
@@ -130,15 +132,22 @@
                     payload: ask.payload,
                     cancel: ask.cancel,
                     reply: ask.reply,
+                    upstream: "".into(),
                 };
                 self.held.insert(key, held);
                 self.carry_out(None);
             }
             Err(refusal) => {
                 self.context.metrics.refuse(refusal.reason, refusal.ran);
-                let (name, reason) = (&ask.name, refusal.reason.name());
-                report(
+                let (name, reason) = (&*ask.name, refusal.reason.name());
+                note(
                     Event::REFUSED,
+                    &[
+                        ("request", name.into()),
+                        ("reason", reason.into()),
+                        ("ran", "no".into()),
+                        ("version", self.state.version.into()),
+                    ],
                     format_args!("{name} {reason}, host {}, path {path}", ask.host),
                 );
                 (ask.reply)(Err(refusal));
@@ -152,17 +161,21 @@
             && reason != Reason::Cancelled
         {
             self.context.metrics.fail(reason);
-            let upstream = self.state.flights.get(done.flight);
-            let upstream = upstream.and_then(|row| row.upstream.map(|(key, _)| key));
-            let id = upstream.and_then(|key| self.state.upstreams.get(key));
-            let id = id.map_or("?", |row| &row.id);
-            let name = self.held.get(done.flight).map_or("?", |held| &held.name);
-            report(
+            let held = self.held.get(done.flight);
+            let (name, id) = held.map_or(("?", "?"), |held| (&*held.name, &*held.upstream));
+            let took_ms = done.took / 1_000;
+            note(
                 Event::ATTEMPT_FAILED,
+                &[
+                    ("request", name.into()),
+                    ("reason", reason.name().into()),
+                    ("ran", ran.name().into()),
+                    ("upstream", id.into()),
+                    ("took_ms", took_ms.into()),
+                ],
                 format_args!(
-                    "{name} {}, ran {ran:?}, upstream {id}, after {} ms",
-                    reason.name(),
-                    done.took / 1_000
+                    "{name} {}, ran {ran:?}, upstream {id}, after {took_ms} ms",
+                    reason.name()
                 ),
             );
         }
@@ -242,20 +255,30 @@
                 until,
                 basis,
             } => {
-                let Some(held) = self.held.get(flight) else {
+                let Some(held) = self.held.get_mut(flight) else {
                     return;
                 };
                 if held.cancel.is_cancelled() {
                     self.leave(flight);
                     return;
                 }
-                log::debug!(
-                    "{} to {id}: load {:.1} of {}, distance {}, place {}",
-                    held.name,
-                    basis.load,
-                    basis.slots,
-                    basis.distance,
-                    basis.rank
+                held.upstream = Arc::clone(&id);
+                note(
+                    Event::PLACED,
+                    &[
+                        ("request", held.name.as_str().into()),
+                        ("upstream", (*id).into()),
+                        ("load", basis.load.into()),
+                        ("slots", basis.slots.into()),
+                        ("distance", basis.distance.into()),
+                        ("place", basis.rank.into()),
+                        ("known", basis.known.into()),
+                        ("version", self.state.version.into()),
+                    ],
+                    format_args!(
+                        "{} to {id}, load {:.1} of {}, distance {}, place {}",
+                        held.name, basis.load, basis.slots, basis.distance, basis.rank
+                    ),
                 );
                 let dispatch = Dispatch {
                     flight,
@@ -299,8 +322,16 @@
         };
         self.context.metrics.refuse(refusal.reason, refusal.ran);
         if refusal.reason != Reason::Cancelled {
-            report(
+            note(
                 Event::REFUSED,
+                &[
+                    ("request", held.name.as_str().into()),
+                    ("reason", refusal.reason.name().into()),
+                    ("ran", refusal.ran.name().into()),
+                    ("upstream", (*held.upstream).into()),
+                    ("retry_ms", refusal.retry_ms.into()),
+                    ("version", self.state.version.into()),
+                ],
                 format_args!(
                     "{} {}, ran {:?}, back in {} ms",
                     held.name,
