Keep away what left before control knew it

Its leave named no incarnation, the catalogue knew none, so nothing was remembered; a report of it that came 2.7 s later brought it in. Shown by the bodies of both calls on a scratch copy: the leave is empty, the id was unknown at all six control VMs.

Changed: a leave carries the newest incarnation that was heard, and control VMs keep what they hear of unknown upstreams for as long as silence makes one forgotten, not for two seconds. Left open: a control VM that heard no report of it, nor was told of one, still remembers nothing.

Test: reports after such a leave, seen failing; and how long it is kept.

--- a/src/catalog/census.rs
+++ b/src/catalog/census.rs
@@ -47,7 +47,9 @@
         row.is_some_and(|row| row.born == born)
     };
     known.retain(|(id, born), _| is_there(id, *born));
-    heard.retain(|id| catalog.upstreams.get(id).is_some());
+    // One whose reports are not accepted yet may leave before they are.
+    let is_fresh = |at| now.saturating_duration_since(at) < silence;
+    heard.retain(|id, at| catalog.upstreams.get(id).is_some() || is_fresh(at));
     let mut silent = Vec::new();
     for row in rows {
         let key = (row.name.clone(), row.value.born);
--- a/src/catalog/decide.rs
+++ b/src/catalog/decide.rs
@@ -31,7 +31,7 @@
             edit,
         } => configure::apply(catalog, (base, version), identity, edit)?,
         Order::Report { id, upstream } => report(catalog, &id, upstream, next),
-        Order::Leave { id, born } => leave(catalog, &id, born, next),
+        Order::Leave { id, born, heard } => leave(catalog, &id, born, heard, next),
         Order::Forget { silent } => {
             let mut changed = false;
             for (id, born) in silent {
@@ -113,9 +113,16 @@
     catalog.upstreams.put(id, upstream, next)
 }
 
-fn leave(catalog: &mut Catalog, id: &str, born: Option<u64>, next: u64) -> bool {
+fn leave(
+    catalog: &mut Catalog,
+    id: &str,
+    born: Option<u64>,
+    heard: Option<u64>,
+    next: u64,
+) -> bool {
     let known = catalog.upstreams.get(id).map(|row| row.born);
-    let over = born.or(known);
+    // By its own word, or the newest that anybody knows of.
+    let over = born.or(known.max(heard));
     let Some(over) = over else {
         return false;
     };
--- a/src/catalog/heard.rs
+++ b/src/catalog/heard.rs
@@ -75,8 +75,20 @@
         (*known == born).then_some(*at)
     }
 
-    /// Forgets all but the upstreams that `keep` names.
-    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
-        self.lock().rows.retain(|id, _| keep(id));
+    /// The incarnation of `id` that was heard last.
+    ///
+    /// ```
+    /// let heard = siskinstep::catalog::heard::Heard::default();
+    /// heard.note("u-1", 7);
+    /// assert_eq!(heard.born("u-1"), Some(7));
+    /// ```
+    #[must_use]
+    pub fn born(&self, id: &str) -> Option<u64> {
+        self.lock().rows.get(id).map(|(born, _)| *born)
+    }
+
+    /// Forgets all but the upstreams that `keep` picks by name and time of the last report.
+    pub fn retain(&self, keep: impl Fn(&str, Instant) -> bool) {
+        self.lock().rows.retain(|id, (_, at)| keep(id, *at));
     }
 }
--- a/src/catalog/messages.rs
+++ b/src/catalog/messages.rs
@@ -154,6 +154,9 @@
         id: String,
         /// Its incarnation, if it says.
         born: Option<u64>,
+        /// The newest incarnation that reported to the control VM, whether or not the report was accepted.
+        #[serde(default)]
+        heard: Option<u64>,
     },
     /// Upstreams that no control VM has heard for long.
     Forget {
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -158,12 +158,46 @@
     let leave = Order::Leave {
         id: "u".to_owned(),
         born: None,
+        heard: None,
     };
     apply(&mut catalog, leave).unwrap();
     assert!(!is_news(&catalog, "u", &upstream("10.0.0.1:80", 5, 4)));
     assert!(is_news(&catalog, "u", &upstream("10.0.0.1:80", 6, 1)));
 }
 
+/// One that started and ended while control had no majority: none of its reports was accepted, and some are
+/// still on their way.
+#[test]
+fn what_left_before_it_was_known_stays_away() {
+    let mut catalog = Catalog::default();
+    let leave = |heard| Order::Leave {
+        id: "u".to_owned(),
+        born: None,
+        heard: Some(heard),
+    };
+    apply(&mut catalog, leave(5)).unwrap();
+    assert!(!is_news(&catalog, "u", &upstream("10.0.0.1:80", 5, 4)));
+    assert!(is_news(&catalog, "u", &upstream("10.0.0.1:80", 6, 1)));
+    // What this control VM heard may be older than what is known.
+    apply(&mut catalog, report("u", upstream("10.0.0.1:80", 7, 1))).unwrap();
+    apply(&mut catalog, leave(5)).unwrap();
+    assert!(catalog.upstreams.get("u").is_none());
+    assert!(!is_news(&catalog, "u", &upstream("10.0.0.1:80", 7, 2)));
+}
+
+#[test]
+fn what_is_heard_is_kept_for_a_while_before_it_is_known() {
+    let (heard, mut known) = (Heard::default(), Known::default());
+    let silence = Duration::from_secs(10);
+    let catalog = Catalog::default();
+    heard.note("u", 5);
+    let start = Instant::now();
+    silent(&catalog, &heard, &mut known, silence, start);
+    assert_eq!(heard.born("u"), Some(5));
+    silent(&catalog, &heard, &mut known, silence, start + 2 * silence);
+    assert_eq!(heard.born("u"), None);
+}
+
 #[test]
 fn a_younger_upstream_takes_the_address_over() {
     let mut catalog = Catalog::default();
@@ -231,6 +265,7 @@
                 1 => Order::Leave {
                     id: format!("u{}", n % 7),
                     born: Some(n),
+                    heard: None,
                 },
                 2 => Order::Evacuate {
                     zone: format!("z{}", n % 3),
