--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -93,7 +93,7 @@
     pool: &Pool,
     upstream: &Upstream,
     (load, place, known): (f64, usize, bool),
-    (objective, now): (f64, Micros),
+    now: Micros,
 ) -> (f64, f64) {
     let distance = usize::from(upstream.distance);
     let unsure = pool.unsure[distance][place].max(pool.known);
@@ -101,8 +101,8 @@
     let slots = f64::from(upstream.slots.max(1));
     let slow = upstream.slowness(now);
     let wait = (load + 1.0 - slots).max(0.0) / slots * pool.work[distance] * slow;
-    // What fails there is late at best, whatever it takes elsewhere.
-    let again = upstream.bad * objective.max(unsure);
+    // What fails there has to be done again elsewhere.
+    let again = upstream.bad * unsure;
     (state.travel[distance] + wait + work * slow + again, wait)
 }
 
@@ -223,7 +223,7 @@
             let load = candidate.load;
             candidate.known = known;
             (candidate.cost, candidate.wait) =
-                expect(state, pool, upstream, (load, at, known), (objective, now));
+                expect(state, pool, upstream, (load, at, known), now);
             let is_sooner = |other: &Option<(Candidate, usize)>| {
                 other.is_none_or(|(other, _)| candidate.cost < other.cost)
             };
