Play joining without an operator; let keys leave to the region's other zones

Tests: six control VMs that know three seeds all vote by themselves and bear the loss of two; with nine, the most, a newcomer takes the place of one that was silent for long. The code was there; both fail with members that may not join.

Changed: keys of a short zone go to the other zones of its region where these answer as well as regions beyond; before, they always crossed to another region. No site of the users has such a zone; not measured. choose() is split into what may take a request and which is picked.

--- a/src/agree/tests/scripted.rs
+++ b/src/agree/tests/scripted.rs
@@ -268,6 +268,58 @@
     world.heal_and_check(FOUNDERS);
 }
 
+fn voters(world: &World) -> Vec<String> {
+    let leader = world.leader().unwrap();
+    let state = world.nodes[leader].state.as_ref().unwrap();
+    let rows = state.members().rows.iter().filter(|row| row.voter);
+    rows.map(|row| row.name.clone()).collect()
+}
+
+/// Each knows three seeds; nobody adds the other three.
+#[test]
+fn all_that_start_from_the_same_seeds_vote_without_an_operator() {
+    for seed in 0..10 {
+        let mut world = World::open(seed, FOUNDERS, 6);
+        world.run(15_000);
+        assert_eq!(voters(&world).len(), 6, "seed {seed}");
+        accept(&mut world, 3);
+        // A zone's loss: four of six go on.
+        world.crash(1);
+        world.crash(4);
+        world.run(6_000);
+        assert!(world.leader().is_some(), "seed {seed}");
+        world.start(1, FOUNDERS);
+        world.start(4, FOUNDERS);
+        world.heal_and_check(FOUNDERS);
+    }
+}
+
+/// Nine vote, the most there may be. One is gone for good, and another one comes.
+#[test]
+fn a_newcomer_takes_the_place_of_one_that_was_silent_for_long() {
+    for seed in 0..5 {
+        let mut world = World::open(seed, FOUNDERS, 10);
+        world.crash(9);
+        world.run(30_000);
+        assert_eq!(voters(&world).len(), 9, "seed {seed}");
+        let leader = world.leader().unwrap();
+        let gone = (leader + 4) % 9;
+        world.crash(gone);
+        world.start(9, FOUNDERS);
+        world.run(30_000);
+        let voters = voters(&world);
+        assert!(
+            voters.contains(&"control-9".to_owned()),
+            "seed {seed}: {voters:?}"
+        );
+        assert!(
+            !voters.contains(&format!("control-{gone}")),
+            "seed {seed}: {voters:?}"
+        );
+        accept(&mut world, 3);
+    }
+}
+
 #[test]
 fn a_command_too_large_for_a_message_is_refused_and_blocks_nothing() {
     let mut world = founded(6);
--- a/src/agree/tests/world.rs
+++ b/src/agree/tests/world.rs
@@ -80,6 +80,8 @@
     pub(super) cut: Vec<(usize, usize)>,
     /// A replica that short messages reach, but none with entries: its link loses large ones.
     pub(super) starved: Option<usize>,
+    /// Whether replicas know the founders alone, and the others join by themselves.
+    open: bool,
     pub(super) oracle: Oracle,
     pub(super) commands: Vec<Command>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -125,6 +127,7 @@
             },
             cut: Vec::new(),
             starved: None,
+            open: false,
             oracle: Oracle::default(),
             commands: Vec::new(),
             queue: BinaryHeap::new(),
@@ -141,16 +144,29 @@
         world
     }
 
+    /// The same where nobody is listed but the founders, and no operator adds the others.
+    pub(super) fn open(seed: u64, founders: usize, size: usize) -> Self {
+        let mut world = Self::new(seed, founders, size);
+        world.open = true;
+        for node in 0..size {
+            world.crash(node);
+            world.lose_disk(node);
+            world.start(node, founders);
+        }
+        world
+    }
+
     fn settings(&self, node: usize, founders: usize) -> Settings {
         let mut members: Vec<Listed> = (0..founders)
             .map(|at| self.nodes[at].listed.clone())
             .collect();
-        if node >= founders {
+        if node >= founders && !self.open {
             members.push(self.nodes[node].listed.clone());
         }
         Settings {
             snapshot_entries: 12,
             members,
+            open: self.open,
             ..Settings::default()
         }
     }
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -151,18 +151,18 @@
     own / f64::max(all, 1.0) / asked
 }
 
-/// The upstream for `flight`, if there is one at which it is of use now.
-pub(super) fn choose(
-    state: &State,
-    pool: &Pool,
-    flight: &Flight,
-    now: Micros,
-) -> Option<(UpstreamKey, Basis)> {
-    let mut first: [[Option<Candidate>; KEPT]; DISTANCES] = Default::default();
-    let mut spare: Option<(u8, Candidate)> = None;
-    let elapsed = now.since(flight.arrived).as_secs_f64() * 1e6;
-    #[allow(clippy::cast_precision_loss, reason = "some seconds at most")]
-    let objective = (flight.route.objective_ms * 1_000) as f64 - elapsed;
+/// Upstreams that may take a request now.
+#[derive(Default)]
+struct Candidates {
+    /// Those that its affinity key keeps to, by distance and place.
+    kept: [[Option<Candidate>; KEPT]; DISTANCES],
+    /// The nearest with room, and of these the emptiest.
+    spare: Option<(u8, Candidate)>,
+}
+
+/// Collects the upstreams that may take `flight` now, with what is believed to be there.
+fn collect(state: &State, pool: &Pool, flight: &Flight, now: Micros) -> Candidates {
+    let mut found = Candidates::default();
     // Requests that have no home here do not move.
     let homes = &flight.route.homes;
     let lives_away = !homes.is_empty() && !homes.iter().any(|home| **home == *state.region);
@@ -179,12 +179,12 @@
         if upstream.distance == 2 && !may_leave && !lives_away {
             continue;
         }
-        let usual = pool.usual[usize::from(upstream.distance)];
-        let load = upstream.load(usual, now, state.settings.told_ms);
         let cold = cold_credit(state, pool, upstream, now);
         if cold.is_some_and(|credit| credit < 1.0) {
             continue;
         }
+        let distance = usize::from(upstream.distance);
+        let load = upstream.load(pool.usual[distance], now, state.settings.told_ms);
         let candidate = Candidate {
             key: *key,
             place: affinity(upstream, flight.affinity),
@@ -197,33 +197,43 @@
             let is_better = |(distance, other): &(u8, Candidate)| {
                 (upstream.distance, load) < (*distance, other.load)
             };
-            if spare.as_ref().is_none_or(is_better) {
-                spare = Some((upstream.distance, candidate));
+            if found.spare.as_ref().is_none_or(is_better) {
+                found.spare = Some((upstream.distance, candidate));
             }
         }
-        let distance = usize::from(upstream.distance);
         insert(
-            &mut first[distance][..KEPT_BY_DISTANCE[distance]],
+            &mut found.kept[distance][..KEPT_BY_DISTANCE[distance]],
             candidate,
         );
     }
-    // The nearest at which the answer comes in time; else where it comes soonest without a wait.
-    let mut soonest: Option<(Candidate, usize)> = None;
-    let mut best: Option<(Candidate, usize)> = None;
+    found
+}
+
+/// The upstream for `flight`, if there is one at which it is of use now: the nearest at which the answer
+/// comes in time, else where it comes soonest without a wait.
+pub(super) fn choose(
+    state: &State,
+    pool: &Pool,
+    flight: &Flight,
+    now: Micros,
+) -> Option<(UpstreamKey, Basis)> {
+    let elapsed = now.since(flight.arrived).as_secs_f64() * 1e6;
+    #[allow(clippy::cast_precision_loss, reason = "some seconds at most")]
+    let objective = (flight.route.objective_ms * 1_000) as f64 - elapsed;
+    let mut found = collect(state, pool, flight, now);
     let has_to_leave = pool.moves.has_to_leave();
     let stays = pool.reach.stays(flight.affinity);
-    let order = pool.reach.order(has_to_leave || !stays, now);
-    for row in order {
-        for (at, candidate) in first[row].iter_mut().enumerate() {
+    let mut soonest: Option<(Candidate, usize)> = None;
+    let mut best: Option<(Candidate, usize)> = None;
+    for row in pool.reach.order(flight.affinity, has_to_leave, now) {
+        for (at, candidate) in found.kept[row].iter_mut().enumerate() {
             let Some(candidate) = candidate else { continue };
             let Some(upstream) = state.upstreams.get(candidate.key) else {
                 continue;
             };
-            let known = upstream.knows(flight.affinity, now);
-            let load = candidate.load;
-            candidate.known = known;
-            (candidate.cost, candidate.wait) =
-                expect(state, pool, upstream, (load, at, known), now);
+            candidate.known = upstream.knows(flight.affinity, now);
+            let belief = (candidate.load, at, candidate.known);
+            (candidate.cost, candidate.wait) = expect(state, pool, upstream, belief, now);
             let is_sooner = |other: &Option<(Candidate, usize)>| {
                 other.is_none_or(|(other, _)| candidate.cost < other.cost)
             };
@@ -238,11 +248,11 @@
             break;
         }
     }
-    let best = best.or(soonest);
     // Requests without a key have nothing to keep to.
-    let spare =
-        spare.filter(|_| !flight.route.affinity || first.iter().flatten().all(Option::is_none));
-    let (candidate, rank) = best.or_else(|| spare.map(|(_, candidate)| (candidate, KEPT)))?;
+    let has_key = flight.route.affinity && found.kept.iter().flatten().any(Option::is_some);
+    let spare = found.spare.filter(|_| !has_key);
+    let spare = spare.map(|(_, candidate)| (candidate, KEPT));
+    let (candidate, rank) = best.or(soonest).or(spare)?;
     let upstream = state.upstreams.get(candidate.key)?;
     let basis = Basis {
         load: candidate.load,
--- a/src/steer/reach.rs
+++ b/src/steer/reach.rs
@@ -2,8 +2,9 @@
 //!
 //! The load that it answers: a zone with fewer upstreams than its callers need. Spread over all keys, its
 //! upstreams meet more objects than they keep, all work takes long, and little of the load is carried.
-//! A part of the keys therefore goes beyond the region from the start, always the same ones: what stays
-//! is known where it is handled, and what leaves is, too. The part follows from how many requests are
+//! A part of the keys therefore leaves from the start, always the same ones, to the region's other zones
+//! if these do better and beyond the region otherwise: what stays is known where it is handled, and what
+//! leaves is, too. The part follows from how many requests are
 //! answered within their objective here and there. Every entry VM finds it by itself; as the parts are
 //! nested, VMs that differ a little agree on all other keys.
 
@@ -37,6 +38,8 @@
 pub(super) struct Reach {
     /// Part of the keys that stay, of a whole.
     kept: f64,
+    /// Distance to which the others go first.
+    target: usize,
     timely: [Option<Timely>; DISTANCES],
     looked: Micros,
 }
@@ -45,6 +48,7 @@
     fn default() -> Self {
         Self {
             kept: 1.0,
+            target: DISTANCES - 1,
             timely: [None; DISTANCES],
             looked: Micros(0),
         }
@@ -59,12 +63,15 @@
         place <= self.kept
     }
 
-    /// Distances in the order in which they are tried. Beyond the first, the own region goes before others
-    /// unless fewer of its answers come in time.
-    pub(super) fn order(&self, leaves: bool, now: Micros) -> [usize; DISTANCES] {
-        if leaves {
+    /// Distances in the order in which a key's are tried; `moves` if it has to leave the region. Beyond the
+    /// first, the own region goes before others unless fewer of its answers come in time.
+    pub(super) fn order(&self, key: u64, moves: bool, now: Micros) -> [usize; DISTANCES] {
+        if moves || (!self.stays(key) && self.target == 2) {
             return [2, 0, 1];
         }
+        if !self.stays(key) {
+            return [1, 0, 2];
+        }
         match (self.read(1, now), self.read(2, now)) {
             (Some(region), Some(far)) if region < far - WORSE => [0, 2, 1],
             _ => [0, 1, 2],
@@ -90,17 +97,30 @@
         self.timely[distance].filter(fresh).map(|row| row.part)
     }
 
+    /// Where keys that leave are answered best, and how well.
+    fn best(&self, now: Micros) -> Option<(usize, f64)> {
+        match (self.read(1, now), self.read(2, now)) {
+            (Some(region), Some(far)) if region < far - AS_GOOD => Some((2, far)),
+            (Some(region), _) => Some((1, region)),
+            (None, far) => far.map(|far| (2, far)),
+        }
+    }
+
     /// Lets keys leave or come back.
     pub(super) fn look(&mut self, now: Micros) {
         if now < self.looked.plus_millis(LOOK_MS) {
             return;
         }
         self.looked = now;
-        let (Some(near), Some(far)) = (self.read(0, now), self.read(DISTANCES - 1, now)) else {
+        let (Some(near), Some((target, far))) = (self.read(0, now), self.best(now)) else {
             // Nothing leaves, or nothing is known of what stays: a few come back and show it.
             self.kept = (self.kept + STEP / 2.0).min(1.0);
             return;
         };
+        if self.kept >= 1.0 {
+            // Those that have left keep to where they are known.
+            self.target = target;
+        }
         if near < far - WORSE {
             self.kept = (self.kept - STEP).max(0.0);
         } else if near > far - AS_GOOD {
--- a/src/steer/tests/reach.rs
+++ b/src/steer/tests/reach.rs
@@ -35,6 +35,25 @@
     assert!(few.iter().all(|key| all.contains(key)));
 }
 
+/// A zone that is short within a region that has room need not cross to another one.
+#[test]
+fn keys_leave_to_the_region_first_if_it_does_as_well() {
+    let leaves = |region: u64, far: u64| {
+        let mut reach = Reach::default();
+        for step in 0..1_000 {
+            let (now, turn) = (ms(step * 10), step * 37 % 100);
+            for (distance, part) in [(0, 30), (1, region), (2, far)] {
+                reach.note(distance, turn < part, now);
+            }
+            reach.look(now);
+        }
+        let key = (0..1_000).find(|key| !reach.stays(*key)).unwrap();
+        reach.order(key, false, ms(10_000))[0]
+    };
+    assert_eq!(leaves(90, 90), 1);
+    assert_eq!(leaves(40, 90), 2);
+}
+
 #[test]
 fn a_little_worse_is_no_reason_to_leave() {
     let mut reach = Reach::default();
