Keep what comes late anyway at the nearest first choice

Cause: where no upstream answers in time, requests went wherever the answer came soonest, and pushed out objects that others keep there.

--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -210,7 +210,7 @@
 }
 
 /// The upstream for `flight`, if there is one at which it is of use now: the nearest at which the answer
-/// comes in time, else where it comes soonest without a wait.
+/// comes in time, else the first without a wait: what comes late anyway is to push out nothing elsewhere.
 pub(super) fn choose(
     state: &State,
     pool: &Pool,
@@ -223,7 +223,7 @@
     let mut found = collect(state, pool, flight, now);
     let has_to_leave = pool.moves.has_to_leave();
     let stays = pool.reach.stays(flight.affinity);
-    let mut soonest: Option<(Candidate, usize)> = None;
+    let mut late: Option<(Candidate, usize)> = None;
     let mut best: Option<(Candidate, usize)> = None;
     for row in pool.reach.order(flight.affinity, has_to_leave, now) {
         for (at, candidate) in found.kept[row].iter_mut().enumerate() {
@@ -240,8 +240,8 @@
             if candidate.cost <= objective && is_sooner(&best) {
                 best = Some((*candidate, at));
             }
-            if candidate.wait <= 0.0 && is_sooner(&soonest) {
-                soonest = Some((*candidate, at));
+            if candidate.wait <= 0.0 && late.is_none() {
+                late = Some((*candidate, at));
             }
         }
         if best.is_some() {
@@ -252,7 +252,7 @@
     let has_key = flight.route.affinity && found.kept.iter().flatten().any(Option::is_some);
     let spare = found.spare.filter(|_| !has_key);
     let spare = spare.map(|(_, candidate)| (candidate, KEPT));
-    let (candidate, rank) = best.or(soonest).or(spare)?;
+    let (candidate, rank) = best.or(late).or(spare)?;
     let upstream = state.upstreams.get(candidate.key)?;
     let basis = Basis {
         load: candidate.load,
