Reckon a region's first share when a request comes, not with every message

Idle services had their upstreams counted again with each message of others; at the target's size that is ten thousand rows a message. Same decisions.

--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -76,6 +76,7 @@
     if let Some(pool) = state.pools.get_mut(&service) {
         pool.budget.note(now);
     }
+    begin(state, &service);
     let key = state.flights.insert(flight);
     place_or_wait(state, key, asked.random, now);
     Ok((key, name))
@@ -413,7 +414,6 @@
 
 /// Time has passed.
 pub(super) fn tick(state: &mut State, random: u64, now: Micros) {
-    begin(state);
     let mut names: Vec<Arc<str>> = Vec::new();
     state.pools.retain(|name, pool| {
         pool.moves.tick(random, now);
@@ -429,19 +429,14 @@
 }
 
 /// Before anything was sent, what a region keeps follows from its room.
-fn begin(state: &mut State) {
-    let first = state
-        .pools
-        .rows()
-        .iter()
-        .filter(|row| row.1.moves.is_first());
-    let parts: Vec<(Arc<str>, f64)> = first
-        .map(|(name, pool)| (Arc::clone(name), place::carries(state, pool)))
-        .collect();
-    for (name, part) in parts {
-        if let Some(pool) = state.pools.get_mut(&name) {
-            pool.reach.begin(part);
-        }
+fn begin(state: &mut State, service: &Arc<str>) {
+    let pool = state.pools.get(service);
+    let Some(pool) = pool.filter(|pool| pool.moves.is_first()) else {
+        return;
+    };
+    let part = place::carries(state, pool);
+    if let Some(pool) = state.pools.get_mut(service) {
+        pool.reach.begin(part);
     }
 }
 
