Let cold upstreams wait until entry VMs know each other

Ruled out: the keys that stay and the second try (the burst is in the first second after a start).

Test: no send before the others are known, seen failing (first at 60 ms).

--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -20,10 +20,16 @@
 
 /// Attempt time in microseconds that is believed before any was seen: a usual request of the web.
 const FIRST_TOOK: f64 = 200_000.0;
+/// Milliseconds after the first configuration in which the other entry VMs show themselves: two of their
+/// beacons, and the way to here. After a loss of everything all of them start at the same moment.
+const SETTLES_MS: u64 = 1_000;
 
 /// Brings routes, services and upstreams up to the catalogue.
 pub(super) fn adopt(state: &mut State, followed: &Followed, now: Micros) {
     let catalog = &followed.catalog;
+    if state.version == 0 {
+        state.settled = now.plus_millis(SETTLES_MS);
+    }
     state.version = catalog.version;
     state.index = Index::new(catalog);
     let mut entries: Sorted<String, u32> = Sorted::default();
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -45,7 +45,11 @@
 
 /// Requests a second that this VM may send a cold upstream: its part of what all may send together.
 /// While the upstream's zone has entry VMs, only they send.
-fn cold_share(state: &State, pool: &Pool, upstream: &Upstream) -> f64 {
+fn cold_share(state: &State, pool: &Pool, upstream: &Upstream, now: Micros) -> f64 {
+    // Before the others are known, each would take the whole for itself.
+    if now < state.settled {
+        return 0.0;
+    }
     #[allow(
         clippy::cast_precision_loss,
         reason = "a rate of some requests a second"
@@ -65,7 +69,7 @@
 /// Credit of a cold upstream, or `None` if it is warm.
 fn cold_credit(state: &State, pool: &Pool, upstream: &Upstream, now: Micros) -> Option<f64> {
     let warming = upstream.warming.filter(|row| now < row.until)?;
-    let earned = now.since(warming.at).as_secs_f64() * cold_share(state, pool, upstream);
+    let earned = now.since(warming.at).as_secs_f64() * cold_share(state, pool, upstream, now);
     Some((warming.credit + earned).min(COLD_BURST))
 }
 
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -232,6 +232,8 @@
     /// Weights given out so far, by route and part.
     pub(super) splits: Sorted<Arc<str>, Vec<i64>>,
     pub(super) flights: SlotMap<FlightKey, Flight>,
+    /// When the entry VMs are known, after a start.
+    pub(super) settled: Micros,
     /// Entry VMs by zone, and all together.
     pub(super) entries: Sorted<String, u32>,
     /// Moving average of the microseconds that a connection takes to open, by distance.
@@ -258,6 +260,7 @@
             pools: Sorted::default(),
             splits: Sorted::default(),
             flights: SlotMap::default(),
+            settled: Micros(0),
             entries: Sorted::default(),
             travel: [0.0; DISTANCES],
             out: Vec::new(),
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -62,6 +62,8 @@
             now: NOW,
         };
         world.adopt();
+        // It has run for a while.
+        world.state.settled = NOW;
         world
     }
 
@@ -426,6 +428,34 @@
     assert!(away >= 160, "{away}");
 }
 
+/// After a loss of everything no VM knows of another yet, and each would take the whole of what a cold
+/// upstream bears.
+#[test]
+fn a_cold_upstream_gets_nothing_before_the_other_entry_vms_are_known() {
+    let cold = Upstream {
+        cold_ms: 5_000,
+        slots: 1_000,
+        ..at("a", 1)
+    };
+    let mut world = World::new(&[("a1", cold)]);
+    world.state.version = 0;
+    world.zones.clear();
+    world.adopt();
+    let mut sent_at = Vec::new();
+    for step in 0..200_u64 {
+        world.now = ms(step * 10);
+        world.ask("/one/x", step);
+        decide::tick(&mut world.state, 7, world.now);
+        if world.effects().contains(&"send a1".to_owned()) {
+            sent_at.push(step * 10);
+        }
+    }
+    assert!(
+        sent_at.first().is_some_and(|at| *at >= 1_000),
+        "{sent_at:?}"
+    );
+}
+
 #[test]
 fn an_unknown_path_and_an_unknown_configuration_are_told_apart() {
     let mut world = World::new(&[]);
