Reject bytes that arrive between two requests, and bound the bytes of responses in memory

Cause: an idle connection counted as reusable until the runtime had polled its socket. A second copy of an answer, a part of one or a close that arrived in between was read as the answer to the next request (a name in the answer told them apart, an answer without a name did not). Each response was bounded, but not their sum: a hundred upstreams that send without end hold a hundred times 8 MiB.

Change: the pool asks the kernel whether the peer has sent or closed before it reuses a connection; on a connection that was used before, an answer that does not name its request is not delivered; a head without end fails at 64 KiB; the bytes of responses that are read or on their way to callers are bounded in sum (held_bytes), and what is not read stays in the kernel's window. Both ways: relay and courier.

--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -10,12 +10,12 @@
         call::{Answer, Ran, Reason},
         cancel,
         context::Context,
+        edge::held::{BodyError, Held},
         relay::{
             encode::relayed_headers,
             pool::{self, Connection, Pool},
         },
     },
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::http::response::Parts,
     std::{
         cell::{Cell, RefCell},
@@ -32,6 +32,7 @@
     pub(super) settings: Settings,
     pub(super) wire_format: WireFormat,
     pub(super) pool: Rc<RefCell<Pool>>,
+    pub(super) held: Held,
 }
 
 /// Outcome of an attempt, with the response to deliver.
@@ -82,7 +83,7 @@
     sent: &Cell<bool>,
     connect_us: &Cell<Option<u64>>,
 ) -> Outcome {
-    let Some(mut connection) = obtain(resources, dispatch, connect_us).await else {
+    let Some((mut connection, reused)) = obtain(resources, dispatch, connect_us).await else {
         return not_run(Reason::ConnectFailed);
     };
     let remaining_ms =
@@ -108,13 +109,16 @@
     };
     let (parts, body) = response.into_parts();
     let head = (resources.wire_format.decode)(&parts, &dispatch.payload);
-    if head.meaning == Meaning::Mismatch {
+    // On a connection that has served another request, a response without a name may be a late second
+    // copy of that request's response.
+    let is_ambiguous = reused && !head.names_request;
+    if head.meaning == Meaning::Mismatch || is_ambiguous {
         return unknown(Reason::AnswerMismatch);
     }
-    let limited = Limited::new(body, resources.settings.answer_bytes);
-    let body = match limited.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return body_failure(&head, error.is::<LengthLimitError>()),
+    let max_bytes = resources.settings.answer_bytes;
+    let body = match resources.held.collect(body, max_bytes).await {
+        Ok(body) => body,
+        Err(error) => return body_failure(&head, error),
     };
     return_to_pool(resources, dispatch, &head, connection);
     classify(&parts, head, body)
@@ -122,14 +126,13 @@
 
 /// Outcome for a truncated or oversized body. A head that reports the request as not run remains
 /// valid without its body.
-fn body_failure(head: &Head, is_too_large: bool) -> Outcome {
+fn body_failure(head: &Head, error: BodyError) -> Outcome {
     if head.meaning == Meaning::NotRun {
         return failed(Reason::UpstreamRefused, Ran::No, head.load);
     }
-    unknown(if is_too_large {
-        Reason::AnswerTooLarge
-    } else {
-        Reason::AnswerCut
+    unknown(match error {
+        BodyError::TooLarge => Reason::AnswerTooLarge,
+        BodyError::Cut => Reason::AnswerCut,
     })
 }
 
@@ -169,18 +172,18 @@
     );
 }
 
-/// Takes an idle connection to the target or opens a new one; `None` if it cannot be opened in
-/// time.
+/// Takes an idle connection to the target or opens a new one, and returns whether it was used before;
+/// `None` if it cannot be opened in time.
 async fn obtain(
     resources: &Resources,
     dispatch: &Dispatch,
     connect_us: &Cell<Option<u64>>,
-) -> Option<Connection> {
+) -> Option<(Connection, bool)> {
     let address = dispatch.target.address;
     let max_idle = Duration::from_millis(resources.settings.idle_ms);
     let idle = resources.pool.borrow_mut().take(address, max_idle);
-    if idle.is_some() {
-        return idle;
+    if let Some(idle) = idle {
+        return Some((idle, true));
     }
     resources.context.metrics.count("connections_opened", 1);
     let limit = Duration::from_millis(resources.settings.connect_ms);
@@ -189,5 +192,5 @@
     let connection = pool::connect(address, limit).await.ok()?;
     let elapsed = resources.context.clock.now().since(started);
     connect_us.set(u64::try_from(elapsed.as_micros()).ok());
-    Some(connection)
+    Some((connection, false))
 }
--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -92,6 +92,8 @@
     /// Whether a success carries the upstream's proof that it generated the response itself; also true
     /// if no proof is required.
     pub has_proof: bool,
+    /// Whether it names the request, or the request has no name.
+    pub names_request: bool,
     /// Load that the upstream reports.
     pub load: Option<Load>,
     /// Milliseconds for which the upstream keeps an idle connection open, if it states them; zero
--- a/src/courier/settings.rs
+++ b/src/courier/settings.rs
@@ -13,6 +13,9 @@
     pub idle_max: usize,
     /// Maximum size of a response body in bytes.
     pub answer_bytes: usize,
+    /// Bytes of responses held in memory, being read or on their way to callers, above which no further
+    /// bytes are read from upstreams.
+    pub held_bytes: usize,
 }
 
 impl Default for Settings {
@@ -22,6 +25,7 @@
             idle_ms: 6_000,
             idle_max: 32,
             answer_bytes: 8 << 20,
+            held_bytes: 16 << 20,
         }
     }
 }
--- a/src/courier/tests.rs
+++ b/src/courier/tests.rs
@@ -42,11 +42,13 @@
             Some(b"7") => Meaning::Answer,
             Some(b"none") => Meaning::NotRun,
             Some(b"other") => Meaning::Misdirected,
+            None if parts.headers.contains_key("any") => Meaning::Answer,
             _ => Meaning::Mismatch,
         };
         Head {
             meaning,
             has_proof: parts.headers.get("unproven").is_none(),
+            names_request: parts.headers.contains_key("id"),
             load: None,
             idle_ms: None,
         }
@@ -274,3 +276,55 @@
         failed(Reason::Cancelled, Ran::Unknown)
     );
 }
+
+/// Guards against a late second copy of a response that does not name its request and is delivered to the
+/// next request on the connection.
+#[test]
+fn a_response_without_a_name_is_delivered_on_a_new_connection_only() {
+    let unnamed = "HTTP/1.1 200 OK\r\nany: 1\r\ncontent-length: 2\r\n\r\nok";
+    let (address, _received) = upstream(unnamed, false);
+    let world = World::new();
+    let answered = |ended| matches!(ended, Ended::Answered { status: 200, .. });
+    assert!(answered(world.attempt(address)));
+    assert_eq!(
+        world.attempt(address),
+        failed(Reason::AnswerMismatch, Ran::Unknown)
+    );
+    assert!(answered(world.attempt(address)));
+}
+
+/// Guards against an upstream in trouble that sends bytes without end until the connection is closed.
+#[test]
+fn bytes_without_end_become_a_failure() {
+    let chunk = format!("400\r\n{}\r\n", "x".repeat(1_024));
+    let cases: [(&str, &str, Reason); 3] = [
+        ("", "no answer at all ", Reason::AnswerCut),
+        (
+            "HTTP/1.1 200 OK\r\nid: 7\r\n",
+            "more: and more\r\n",
+            Reason::AnswerCut,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nid: 7\r\ntransfer-encoding: chunked\r\n\r\n",
+            &chunk,
+            Reason::AnswerTooLarge,
+        ),
+    ];
+    for (start, repeated, reason) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (start, repeated) = (start.to_owned(), repeated.to_owned());
+        let (ended, closed) = mpsc::channel();
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 2_048]).unwrap();
+            let _ = stream.write_all(start.as_bytes());
+            while stream.write_all(repeated.as_bytes()).is_ok() {}
+            // The test may be over.
+            let _ = ended.send(());
+        });
+        let world = World::new();
+        assert_eq!(world.attempt(address), failed(reason, Ran::Unknown));
+        closed.recv_timeout(Duration::from_mins(1)).unwrap();
+    }
+}
--- a/src/courier/thread.rs
+++ b/src/courier/thread.rs
@@ -6,7 +6,7 @@
         messages::{Dispatch, Report, WireFormat},
         settings::Settings,
     },
-    crate::{context::Context, duty, relay::pool::Pool, ring::AsyncReceiver},
+    crate::{context::Context, duty, edge::held::Held, relay::pool::Pool, ring::AsyncReceiver},
     std::{
         cell::{Cell, RefCell},
         io,
@@ -38,6 +38,7 @@
             context,
             settings,
             wire_format,
+            held: Held::new(settings.held_bytes),
             pool: Rc::new(RefCell::new(Pool::default())),
         };
         duty::run_until(stop, run(resources, receiver, report))
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod exchange;
+pub(crate) mod held;
 pub mod limits;
 pub mod listener;
 pub mod outbound;
--- a/src/edge/tests.rs
+++ b/src/edge/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the listener with malformed, oversized, incomplete and endless input.
 
+mod held;
+
 use {
     super::{Handler, Limits, Listener, ListenerHandle, Outgoing, Secret, spawn},
     crate::{context::Context, fuzz, keys::ZoneKey},
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -97,7 +97,7 @@
             .await
             .map_err(|_| "client: connect".to_owned())?,
     };
-    let response = connection.send_request(request).await;
+    let response = connection.try_send_request(request).await;
     let response = response.map_err(|_| "client: cut".to_owned())?;
     let status = response.status().as_u16();
     let body = response.into_body().collect().await;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -14,9 +14,10 @@
         cancel,
         clock::Micros,
         context::Context,
+        edge::held::{BodyError, Held},
     },
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    http_body_util::Full,
     hyper::{
         Request, Response,
         body::{Body as _, Incoming as Body},
@@ -39,6 +40,7 @@
     pub(super) settings: Settings,
     pub(super) pool: Rc<RefCell<Pool>>,
     pub(super) limits: Rc<RefCell<AddressLimits>>,
+    pub(super) held: Held,
 }
 
 /// Destination, lease and deadline of an attempt.
@@ -255,15 +257,11 @@
 /// Reads the body of a response, up to `answer_bytes`.
 async fn read(resources: &Resources, response: Response<Body>) -> Result<Answer, Failure> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, resources.settings.answer_bytes)
-        .collect()
-        .await;
-    let body = body.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            unknown(Reason::AnswerTooLarge)
-        } else {
-            unknown(Reason::AnswerCut)
-        }
+    let max_bytes = resources.settings.answer_bytes;
+    let body = resources.held.collect(body, max_bytes).await;
+    let body = body.map_err(|error| match error {
+        BodyError::TooLarge => unknown(Reason::AnswerTooLarge),
+        BodyError::Cut => unknown(Reason::AnswerCut),
     })?;
     let relayed = head
         .headers
@@ -273,7 +271,7 @@
     Ok(Answer {
         status: head.status.as_u16(),
         headers,
-        body: body.to_bytes(),
+        body,
     })
 }
 
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -1,10 +1,18 @@
 //! Pool of idle HTTP/1.1 connections by address. A connection serves one attempt at a time.
 
 use {
+    super::stream::SharedStream,
     crate::sorted::Sorted,
     bytes::Bytes,
     http_body_util::Full,
-    hyper::client::conn::http1::{self, SendRequest},
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        client::conn::{
+            TrySendError,
+            http1::{self, SendRequest},
+        },
+    },
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
     std::{
@@ -20,8 +28,40 @@
 /// Unanswered probes after which a connection is closed.
 const PROBES: u32 = 2;
 
-/// Sending half of one HTTP/1.1 connection.
-pub(crate) type Connection = SendRequest<Full<Bytes>>;
+/// Maximum size of the buffer in which a connection reads a response's head: four times the heads that
+/// servers usually accept. A head without end fails at this size.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// One HTTP/1.1 connection.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    stream: SharedStream,
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    /// The connection failed; the error returns the request if no byte of it was written.
+    pub(crate) async fn try_send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.sender.try_send_request(request).await
+    }
+
+    /// Whether it can be sent a request: it is open, its last response was read completely, and the
+    /// peer has sent nothing since. Bytes that no request asked for would be read as the next
+    /// response.
+    fn is_reusable(&self) -> bool {
+        self.sender.is_ready() && self.stream.is_quiet()
+    }
+
+    fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
 
 /// Idle connections by address, in the order in which they were returned.
 #[derive(Debug, Default)]
@@ -53,7 +93,7 @@
     ) -> Option<(Connection, bool)> {
         let idle = self.idle.get_mut(&address)?;
         while let Some(row) = idle.pop() {
-            if row.since.elapsed() < max_idle && row.connection.is_ready() {
+            if row.since.elapsed() < max_idle && row.connection.is_reusable() {
                 return Some((row.connection, row.named));
             }
         }
@@ -124,12 +164,14 @@
     let stream = time::timeout(limit, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     set_keepalive(&stream)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)?;
+    let stream = SharedStream::new(stream);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream.clone())).await;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
         // The attempt that uses the connection receives the error from `try_send_request`.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Connection { sender, stream })
 }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -17,6 +17,9 @@
     pub opening: usize,
     /// Maximum size of a response body in bytes.
     pub answer_bytes: usize,
+    /// Bytes of responses held in memory, being read or on their way to callers, above which no further
+    /// bytes are read from upstreams.
+    pub held_bytes: usize,
 }
 
 impl Default for Settings {
@@ -28,6 +31,7 @@
             connections: 64,
             opening: 2,
             answer_bytes: 8 << 20,
+            held_bytes: 16 << 20,
         }
     }
 }
@@ -43,6 +47,7 @@
             connections: section.size("connections", base.connections, 1..=1 << 16),
             opening: section.size("opening", base.opening, 1..=1_024),
             answer_bytes: section.size("answer_bytes", base.answer_bytes, 1..=1 << 30),
+            held_bytes: section.size("held_bytes", base.held_bytes, 1..=1 << 34),
         }
     }
 }
--- /dev/null
+++ b/src/relay/stream.rs
@@ -0,0 +1,96 @@
+//! TCP stream that the pool can inspect while the HTTP connection owns its I/O.
+
+use {
+    socket2::SockRef,
+    std::{
+        io::{self, ErrorKind, IoSlice},
+        mem::MaybeUninit,
+        net::Shutdown,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll, ready},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+    },
+};
+
+/// A TCP stream; clones share the socket.
+#[derive(Clone, Debug)]
+pub(super) struct SharedStream(Rc<TcpStream>);
+
+impl SharedStream {
+    pub(super) fn new(stream: TcpStream) -> Self {
+        Self(Rc::new(stream))
+    }
+
+    /// Whether the peer has neither sent bytes that are still unread nor closed the connection.
+    /// Asks the kernel, as the runtime learns of new bytes only when it polls the socket.
+    pub(super) fn is_quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&*self.0).peek(&mut byte);
+        peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+/// Repeats `attempt` until it does not block; `ready` waits for the socket between two attempts.
+fn poll_io<T>(
+    mut ready: impl FnMut() -> Poll<io::Result<()>>,
+    mut attempt: impl FnMut() -> io::Result<T>,
+) -> Poll<io::Result<T>> {
+    loop {
+        ready!(ready())?;
+        match attempt() {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            result => return Poll::Ready(result),
+        }
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = poll_io(
+            || self.0.poll_read_ready(cx),
+            || self.0.try_read(buf.initialize_unfilled()),
+        );
+        read.map_ok(|length| buf.advance(length))
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        poll_io(|| self.0.poll_write_ready(cx), || self.0.try_write(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        poll_io(
+            || self.0.poll_write_ready(cx),
+            || self.0.try_write_vectored(bufs),
+        )
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
--- a/src/relay/tests.rs
+++ b/src/relay/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the relay against a raw TCP upstream that sends malformed, partial and late responses.
 
+mod pool;
+
 use {
     super::{Dispatch, Failure, Settings, spawn},
     crate::{
@@ -146,7 +148,11 @@
 
     fn write(&mut self, text: &str) {
         // The relay may have closed the connection.
-        let _ = self.stream.write_all(text.as_bytes());
+        let _ = self.try_write(text);
+    }
+
+    fn try_write(&mut self, text: &str) -> io::Result<()> {
+        self.stream.write_all(text.as_bytes())
     }
 
     fn respond(&mut self, id: &str) {
@@ -459,3 +465,39 @@
     let left: u64 = left.split('\r').next().unwrap().parse().unwrap();
     assert!(left <= LONG_MS, "{head}");
 }
+
+/// Guards against an upstream in trouble that sends bytes without end until the connection is closed: in
+/// place of a head, in a head, in a body, and after a body of a stated length.
+#[test]
+fn bytes_without_end_become_a_failure_and_hold_nothing() {
+    let chunk = format!("400\r\n{}\r\n", "x".repeat(1_024));
+    let cases: [(&str, &str, Option<Reason>); 4] = [
+        ("", "no answer at all ", Some(Reason::AnswerCut)),
+        ("HTTP/1.1 200 OK\r\n", "more: and more\r\n", Some(Reason::AnswerCut)),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            &chunk,
+            Some(Reason::AnswerTooLarge),
+        ),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", "more", None),
+    ];
+    for (start, repeated, expected) in cases {
+        let (start, repeated) = (start.to_owned(), repeated.to_owned());
+        let (ended, closed) = mpsc::channel();
+        let bench = Bench::start(start_upstream(move |_, peer| {
+            if peer.read().is_err() {
+                return;
+            }
+            peer.write(&start);
+            while peer.try_write(&repeated).is_ok() {}
+            // The test may be over.
+            let _ = ended.send(());
+        }));
+        let outcome = bench.request(1, LONG_MS);
+        match expected {
+            Some(reason) => assert_eq!(outcome, unknown(reason)),
+            None => assert!(outcome.is_ok_and(|answer| answer.body == "ok")),
+        }
+        closed.recv_timeout(WAIT_TIMEOUT).unwrap();
+    }
+}
--- a/src/relay/thread.rs
+++ b/src/relay/thread.rs
@@ -11,6 +11,7 @@
     crate::{
         context::Context,
         duty,
+        edge::held::Held,
         poison::Guard,
         ring::{self, AsyncReceiver},
         slots,
@@ -41,6 +42,7 @@
     duty::spawn_local("relay", move || {
         let resources = Resources {
             context,
+            held: Held::new(settings.held_bytes),
             settings,
             pool: Rc::new(RefCell::new(Pool::default())),
             limits: Rc::new(RefCell::new(AddressLimits::default())),
