--- a/src/catalog/messages.rs
+++ b/src/catalog/messages.rs
@@ -13,6 +13,24 @@
     Repeatable,
     /// Not idempotent: at most once for each attempt of the caller.
     Once,
+    /// Idempotent, with large responses that are read for as long as the caller takes them.
+    Bulk,
+}
+
+impl Idempotency {
+    /// Whether a request may be processed more than once.
+    ///
+    /// ```
+    /// use siskinstep::catalog::Idempotency;
+    /// assert!(Idempotency::Bulk.is_repeatable() && !Idempotency::Once.is_repeatable());
+    /// ```
+    #[must_use]
+    pub const fn is_repeatable(self) -> bool {
+        match self {
+            Self::Repeatable | Self::Bulk => true,
+            Self::Once => false,
+        }
+    }
 }
 
 /// A service and its weight in a traffic split.
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -4,7 +4,7 @@
     super::{budget::RetryBudget, locality::Locality, pacing::RegionPacer, settings::Settings},
     crate::{
         call::{Reason, Refusal},
-        catalog::{Idempotency, Route, Service},
+        catalog::{Route, Service},
         clock::Micros,
         courier::Load,
         keys::{InFlightKey, UpstreamKey},
@@ -175,7 +175,7 @@
 
 impl InFlight {
     pub(super) fn is_repeatable(&self) -> bool {
-        self.route.kind == Idempotency::Repeatable
+        self.route.kind.is_repeatable()
     }
 }
 
