--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -4,7 +4,7 @@
     super::{
         apply, elect, install, join, member,
         messages::{MemberChange, SubmitResult, Unavailable},
-        replicate,
+        placement, replicate,
         state::{HeldMessage, PendingSubmit, Role, State},
         wire::{Body, Content, Envelope, Promise},
     },
@@ -303,6 +303,7 @@
         Body::Appended { .. } => replicate::handle_appended(step, envelope),
         Body::Install { .. } => install::handle_install(step, envelope),
         Body::Installed { .. } => install::handle_installed(step, envelope),
+        Body::Located { .. } => placement::handle_located(step, envelope),
     }
 }
 
@@ -311,7 +312,7 @@
 fn raises_term(body: &Body) -> bool {
     !matches!(
         body,
-        Body::Hello { .. } | Body::Welcome { .. } | Body::Ask { .. }
+        Body::Hello { .. } | Body::Welcome { .. } | Body::Ask { .. } | Body::Located { .. }
     )
 }
 
--- a/src/agree/join.rs
+++ b/src/agree/join.rs
@@ -3,10 +3,13 @@
 use {
     super::{
         decide::{self, Effect, Note, Step},
+        messages::ControlVm,
+        placement,
         state::{ReceivedHello, ReceivedWelcome, State},
         wire::{Body, Content, Envelope, Member, Members, Promise},
     },
     crate::{
+        clock::Micros,
         keys::DiskId,
         storage::{Entry, Position},
     },
@@ -23,12 +26,17 @@
     // A removed member may not have been notified of its removal, and receives nothing from a leader.
     let is_led = decide::is_current(step.state, step.now);
     let is_settled = step.state.admitted && step.state.is_voter() && is_led;
-    step.state.next_hello = step.after(if is_settled {
+    // A replica that follows a member need not become one at once.
+    let is_served = step.now < step.state.followed_until;
+    step.state.next_hello = step.after(if is_settled || is_served {
         10 * heartbeat_ms
     } else {
         heartbeat_ms
     });
     if is_settled {
+        let leader = step.state.leader_row().map(|row| row.peers);
+        let leader = leader.filter(|address| *address != step.state.local.peers);
+        placement::announce(step, leader.as_slice());
         return;
     }
     if may_bootstrap(step.state) {
@@ -36,7 +44,9 @@
     }
     admit(step);
     let (name, operators) = (step.state.local.name.clone(), step.state.local.operators);
-    for to in addresses(step.state) {
+    let others = addresses(step.state);
+    placement::announce(step, &others);
+    for to in others {
         step.send(
             to,
             DiskId(0),
@@ -87,6 +97,35 @@
     step.reply(envelope, body);
 }
 
+/// All control VMs that this replica knows: the members, and others whose hellos arrive. In ascending order
+/// of address.
+pub(super) fn control_vms(state: &State, now: Micros) -> Vec<ControlVm> {
+    let zone = |name: &str| {
+        let place = state.places.get(name);
+        place.map_or_else(String::new, |place| place.zone.to_string())
+    };
+    let members = state.members();
+    let rows = members.rows.iter().map(|row| ControlVm {
+        peers: row.peers,
+        zone: zone(&row.name),
+        member: true,
+    });
+    let hellos = state.hellos.rows().iter();
+    let others = hellos
+        .filter(|(name, row)| {
+            members.named(name).is_none() && placement::is_recent(state, row.at, now)
+        })
+        .map(|(name, row)| ControlVm {
+            peers: row.peers,
+            zone: zone(name),
+            member: false,
+        });
+    let mut all: Vec<ControlVm> = rows.chain(others).collect();
+    all.sort_by_key(|row| row.peers);
+    all.dedup_by_key(|row| row.peers);
+    all
+}
+
 /// Whether the local log is empty, as before a replica joins any cluster.
 fn has_empty_log(state: &State) -> bool {
     state.log.last().index == 0
--- a/src/agree/member.rs
+++ b/src/agree/member.rs
@@ -4,8 +4,9 @@
     super::{
         decide::{Effect, Step},
         messages::{MemberChange, MemberStatus, Unavailable},
+        placement::{self, Place},
         replicate,
-        state::{Role, State},
+        state::{ReceivedHello, Role, State},
         wire::{Content, Member, Members},
     },
     crate::{
@@ -14,8 +15,9 @@
     },
 };
 
-/// Maximum number of members of a cluster.
-const MAX_MEMBERS: usize = 9;
+/// Maximum number of voters: the loss of a region of three, or of any four of them, leaves a quorum, and a
+/// commit waits for five disks.
+const MAX_VOTERS: usize = 9;
 
 /// As the leader, replaces lost disks, promotes learners that have caught up, and adds VMs that
 /// join.
@@ -26,6 +28,7 @@
     let (state, now) = (&*step.state, step.now);
     let next = with_new_disk(state, now)
         .or_else(|| with_new_voter(state, now))
+        .or_else(|| without_surplus(state, now))
         .or_else(|| with_joining_vm(state, now));
     if let Some(members) = next {
         propose(step, members, None);
@@ -74,28 +77,50 @@
     (members.voters().count() > 0).then_some(members)
 }
 
-/// The members with a VM added that sends hellos, if the settings let VMs join without an operator.
-/// If the cluster is full, the members without one from which the leader received nothing for
-/// `silent_ms`; a later change then adds the VM.
+/// Whether the leader received nothing from that other member for `silent_ms`.
+fn is_silent(state: &State, row: &Member, now: Micros) -> bool {
+    let last_contact = last_contact(state, row.disk);
+    row.disk != state.hard.disk && now >= last_contact.plus_millis(state.settings.silent_ms)
+}
+
+/// The members with a VM added that sends hellos, if the settings let VMs join without an operator. The VM
+/// is the one that leaves the voters spread most evenly. If all voters are there, it is added only to
+/// replace a silent member, which goes first, or one whose replacement makes the spread more even.
 fn with_joining_vm(state: &State, now: Micros) -> Option<Members> {
     if !state.settings.auto_join {
         return None;
     }
     let members = state.members();
-    let is_recent = |at: Micros| now < at.plus_millis(state.settings.election_ms);
-    let mut hellos = state.hellos.rows().iter();
-    let (name, row) =
-        hellos.find(|(name, row)| is_recent(row.at) && members.named(name).is_none())?;
+    let hellos = state.hellos.rows().iter();
+    let candidates: Vec<&(String, ReceivedHello)> = hellos
+        .filter(|(name, row)| {
+            placement::is_recent(state, row.at, now) && members.named(name).is_none()
+        })
+        .collect();
+    let places: Vec<Option<&Place>> = candidates
+        .iter()
+        .map(|row| state.places.get(row.0.as_str()))
+        .collect();
+    let known_places: Vec<&Place> = members
+        .rows
+        .iter()
+        .filter_map(|row| state.places.get(row.name.as_str()))
+        .collect();
+    let best = placement::best_candidate(&known_places, &places)?;
     let mut next = members.clone();
-    if next.rows.len() >= MAX_MEMBERS {
-        let is_silent = |row: &Member| {
-            let last_contact = last_contact(state, row.disk);
-            row.disk != state.hard.disk && now >= last_contact.plus_millis(state.settings.silent_ms)
-        };
-        let at = next.rows.iter().position(is_silent)?;
-        next.rows.remove(at);
-        return (next.voters().count() > 0).then_some(next);
+    if next.rows.len() >= MAX_VOTERS {
+        let silent = next.rows.iter().position(|row| is_silent(state, row, now));
+        if let Some(at) = silent {
+            next.rows.remove(at);
+            return (next.voters().count() > 0).then_some(next);
+        }
+        let (voters, voter_places, local) = placement::voters(state)?;
+        if voters.len() != next.rows.len() || voters.len() > MAX_VOTERS {
+            return None;
+        }
+        placement::replaceable(&voter_places, local, places[best]?)?;
     }
+    let (name, row) = candidates[best];
     next.rows.push(Member {
         name: name.clone(),
         peers: row.peers,
@@ -107,24 +132,49 @@
     Some(next)
 }
 
-/// The members with one learner promoted to voter, which is alive and has all committed entries.
-fn with_new_voter(state: &State, now: Micros) -> Option<Members> {
+/// Whether a learner is alive and has all committed entries.
+fn is_caught_up(state: &State, disk: DiskId, now: Micros) -> bool {
     let Role::Leader(leader_state) = &state.role else {
-        return None;
+        return false;
     };
+    let progress = leader_state.progress.get(&disk);
+    progress.is_some_and(|row| row.matched >= state.commit) && is_alive(state, disk, now)
+}
+
+/// The members with one learner promoted to voter that has caught up, if there is room for a voter.
+fn with_new_voter(state: &State, now: Micros) -> Option<Members> {
     let mut members = state.members().clone();
-    let is_caught_up = |disk: DiskId| {
-        let progress = leader_state.progress.get(&disk);
-        progress.is_some_and(|row| row.matched >= state.commit) && is_alive(state, disk, now)
-    };
-    let row = members
-        .rows
-        .iter_mut()
-        .find(|row| !row.voter && is_caught_up(row.disk))?;
+    if members.voters().count() >= MAX_VOTERS {
+        return None;
+    }
+    let mut rows = members.rows.iter_mut();
+    let row = rows.find(|row| !row.voter && is_caught_up(state, row.disk, now))?;
     row.voter = true;
     Some(members)
 }
 
+/// The members without the voter that a learner which has caught up is to replace; a later change promotes
+/// the learner. If it replaces none, the members without the learner.
+fn without_surplus(state: &State, now: Micros) -> Option<Members> {
+    let mut members = state.members().clone();
+    if !state.settings.auto_join || members.voters().count() < MAX_VOTERS {
+        return None;
+    }
+    let learner = members.rows.iter().find(|row| !row.voter)?;
+    let place = state.places.get(learner.name.as_str());
+    let replaced = placement::voters(state).and_then(|(rows, places, local)| {
+        let at = placement::replaceable(&places, local, place?)?;
+        Some(rows[at].name.clone())
+    });
+    let removed = match replaced {
+        Some(name) if is_caught_up(state, learner.disk, now) => name,
+        Some(_) if !is_silent(state, learner, now) => return None,
+        _ => learner.name.clone(),
+    };
+    members.rows.retain(|row| row.name != removed);
+    Some(members)
+}
+
 fn propose(step: &mut Step<'_>, members: Members, operator_call: Option<OperatorCallKey>) {
     let at = step.push(&Content::Members(members));
     if let Some(leader_state) = step.state.leader_state() {
@@ -163,8 +213,8 @@
                 let text = || format!("{name} is a member at {}; remove it first", row.peers);
                 return if is_same { Ok(next) } else { Err(text()) };
             }
-            if members.rows.len() >= MAX_MEMBERS {
-                return Err(format!("a cluster has at most {MAX_MEMBERS} members"));
+            if members.rows.len() >= MAX_VOTERS {
+                return Err(format!("a cluster has at most {MAX_VOTERS} members"));
             }
             next.rows.push(Member {
                 name,
--- a/src/agree/messages.rs
+++ b/src/agree/messages.rs
@@ -3,7 +3,7 @@
 use {
     super::wire::Envelope,
     crate::{
-        catalog::Order,
+        catalog::{Catalog, Order},
         policy::{Accepted, Command, Policy, Rejection},
         storage,
     },
@@ -97,6 +97,30 @@
 /// Result of a change of members: the members, or the reason for the refusal.
 pub type MembersResult = Result<Result<Vec<MemberStatus>, String>, Unavailable>;
 
+/// A control VM, member or not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlVm {
+    /// Its listener for peers.
+    pub peers: SocketAddr,
+    /// Its availability zone, by name; empty if unknown.
+    pub zone: String,
+    /// Whether it is a member, and so has the log itself.
+    pub member: bool,
+}
+
+/// What a control VM without a place in the log learned from a member that it follows.
+#[derive(Clone, Debug)]
+pub struct Followed {
+    /// The catalogue, if it is newer than before.
+    pub catalog: Option<Arc<Catalog>>,
+    /// All control VMs.
+    pub control: Arc<Vec<ControlVm>>,
+    /// Peer listener of the leader, as far as known.
+    pub leader: Option<SocketAddr>,
+    /// Milliseconds for which this is current.
+    pub valid_ms: u64,
+}
+
 /// Callback that receives the reply to a peer's message, if there is one.
 pub type PeerReply = Box<dyn FnOnce(Option<Envelope>) + Send>;
 
@@ -135,6 +159,8 @@
         /// Callback for the reply, if the peer waits for one.
         reply: Option<PeerReply>,
     },
+    /// News from a member that this control VM follows.
+    Followed(Followed),
     /// A report of the storage duty.
     Storage(storage::Report),
     /// Stops the duty; pending callers receive an [`Unavailable`].
--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -11,6 +11,7 @@
 mod log;
 mod member;
 pub mod messages;
+mod placement;
 mod replicate;
 pub mod settings;
 mod state;
@@ -21,7 +22,10 @@
 pub mod wire;
 
 pub use {
-    messages::{MemberChange, MemberStatus, MembersResult, Message, SubmitResult, Unavailable},
+    messages::{
+        ControlVm, Followed, MemberChange, MemberStatus, MembersResult, Message, SubmitResult,
+        Unavailable,
+    },
     settings::{MemberConfig, Settings},
     thread::{Outputs, Setup, spawn},
     wire::{Envelope, Member},
--- a/src/agree/settings.rs
+++ b/src/agree/settings.rs
@@ -57,6 +57,10 @@
     pub auto_join: bool,
     /// Milliseconds without a message after which a member may be replaced by a VM that joins.
     pub silent_ms: u64,
+    /// Region of this control VM, by name; empty if unknown.
+    pub region: String,
+    /// Availability zone of this control VM, by name; empty if unknown.
+    pub zone: String,
 }
 
 impl Default for Settings {
@@ -69,6 +73,8 @@
             may_bootstrap: true,
             auto_join: false,
             silent_ms: 5_000,
+            region: String::new(),
+            zone: String::new(),
         }
     }
 }
@@ -89,6 +95,8 @@
             may_bootstrap: defaults.may_bootstrap,
             auto_join: section.flag("open", defaults.auto_join),
             silent_ms: section.number("silent_ms", defaults.silent_ms, 100..=600_000),
+            region: defaults.region,
+            zone: defaults.zone,
         };
         if settings.election_ms < 3 * settings.heartbeat_ms {
             section.reject(
--- a/src/agree/state.rs
+++ b/src/agree/state.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         log::Log,
+        placement::Place,
         settings::{MemberConfig, Settings},
         wire::{Content, Envelope, Image, Member, Members, Promise},
     },
@@ -117,6 +118,10 @@
     pub(super) promises: Sorted<DiskId, Promise>,
     /// Latest hello of each VM, by name.
     pub(super) hellos: Sorted<String, ReceivedHello>,
+    /// Region and zone of control VMs, by name.
+    pub(super) places: Sorted<String, Place>,
+    /// Time until which this replica has the catalogue of a member that it follows, without being one.
+    pub(super) followed_until: Micros,
     /// Batch of the next write, collected while another one is in progress.
     pub(super) queue: Batch,
     /// Numbers of the write in progress, if any, and of the last durable one.
@@ -171,6 +176,14 @@
         // A new disk has acknowledged nothing, so it cannot have lost state.
         let is_new_disk = last == 0 && recovered.hard.boot <= 1;
         let election_deadline = now.plus_millis(settings.election_ms);
+        let mut places = Sorted::default();
+        if !settings.zone.is_empty() {
+            let place = Place {
+                region: settings.region.as_str().into(),
+                zone: settings.zone.as_str().into(),
+            };
+            places.insert(local.name.clone(), place);
+        }
         Self {
             settings,
             local,
@@ -193,6 +206,8 @@
             reported_peers: Vec::new(),
             promises: Sorted::default(),
             hellos: Sorted::default(),
+            places,
+            followed_until: Micros(0),
             queue: Batch::default(),
             writing: None,
             written: 0,
--- a/src/agree/tests/mod.rs
+++ b/src/agree/tests/mod.rs
@@ -2,5 +2,6 @@
 
 mod fuzz;
 mod oracle;
+mod placement;
 mod scripted;
 mod world;
--- a/src/agree/tests/world.rs
+++ b/src/agree/tests/world.rs
@@ -83,6 +83,8 @@
     pub(super) drops_entries_to: Option<usize>,
     /// Whether replicas are configured with the founders only, and the others join without an operator.
     auto_join: bool,
+    /// Whether replicas know their zones.
+    has_zones: bool,
     pub(super) oracle: Oracle,
     pub(super) commands: Vec<Command>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -130,6 +132,7 @@
             cut_links: Vec::new(),
             drops_entries_to: None,
             auto_join: false,
+            has_zones: false,
             oracle: Oracle::default(),
             commands: Vec::new(),
             queue: BinaryHeap::new(),
@@ -159,6 +162,42 @@
         world
     }
 
+    /// Like `with_auto_join`, in availability zones of three VMs and regions of three zones.
+    pub(super) fn with_zones(seed: u64, founders: usize, size: usize) -> Self {
+        let mut world = Self::new(seed, founders, 0);
+        world.has_zones = true;
+        let mut listed = Self::new(seed, founders, size);
+        world.nodes.append(&mut listed.nodes);
+        world.auto_join = true;
+        for node in 0..size {
+            world.crash(node);
+            world.lose_disk(node);
+            world.start(node, founders);
+        }
+        world
+    }
+
+    /// Number of the zone of a VM in a world with zones; the region is a third of it.
+    pub(super) fn zone_of(node: usize) -> usize {
+        node / 3
+    }
+
+    /// Numbers of the VMs that vote, as the leader knows them.
+    pub(super) fn voters(&self) -> Vec<usize> {
+        let leader = self.leader().and_then(|at| self.nodes[at].state.as_ref());
+        let Some(leader) = leader else {
+            return Vec::new();
+        };
+        let is_voter = |config: &MemberConfig| {
+            let row = leader.members().named(&config.name);
+            row.is_some_and(|row| row.voter)
+        };
+        let nodes = 0..self.nodes.len();
+        nodes
+            .filter(|at| is_voter(&self.nodes[*at].config))
+            .collect()
+    }
+
     fn settings(&self, node: usize, founders: usize) -> Settings {
         let mut members: Vec<MemberConfig> = (0..founders)
             .map(|at| self.nodes[at].config.clone())
@@ -166,8 +205,17 @@
         if node >= founders && !self.auto_join {
             members.push(self.nodes[node].config.clone());
         }
+        let place = |number: usize| {
+            if self.has_zones {
+                number.to_string()
+            } else {
+                String::new()
+            }
+        };
         Settings {
             snapshot_entries: 12,
+            region: place(Self::zone_of(node) / 3),
+            zone: place(Self::zone_of(node)),
             members,
             auto_join: self.auto_join,
             ..Settings::default()
--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -3,13 +3,16 @@
 use {
     super::{
         decide::{self, Effect, Input, Note},
-        member,
-        messages::{MembersResult, Message, PeerReply, SubmitResult, Unavailable},
+        join, member,
+        messages::{
+            ControlVm, Followed, MembersResult, Message, PeerReply, SubmitResult, Unavailable,
+        },
         settings::{MemberConfig, Settings},
         state::State,
         transport::{Packet, PacketSender},
     },
     crate::{
+        clock::Micros,
         context::Context,
         duty,
         keys::{DiskId, OperatorCallKey, PeerCallKey},
@@ -27,6 +30,8 @@
 /// is new.
 const MAX_PUBLISHED_RECEIPTS: usize = 256;
 const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Interval in milliseconds at which control VMs that are not members are listed anew.
+const LIST_INTERVAL_MS: u64 = 250;
 
 /// Inputs to the start of a replica.
 #[derive(Debug)]
@@ -50,8 +55,14 @@
     pub policies: watch::Sender<Arc<Policy>>,
     /// Whether this replica receives updates, so that its configuration is current.
     pub is_current: watch::Sender<bool>,
+    /// Whether it receives them by the log, not from a member that it follows.
+    pub is_led: watch::Sender<bool>,
     /// Peer listeners of the members.
     pub members: watch::Sender<Arc<Vec<SocketAddr>>>,
+    /// All control VMs, in ascending order of address.
+    pub control: watch::Sender<Arc<Vec<ControlVm>>>,
+    /// Peer listener of the leader, as far as known.
+    pub leader: watch::Sender<Option<SocketAddr>>,
 }
 
 /// Starts the duty, which [`Message::Stop`] stops.
@@ -75,12 +86,26 @@
     Members(Box<dyn FnOnce(MembersResult) + Send>),
 }
 
+/// Publishes `value` if it differs from what was published.
+fn publish_changed<T: PartialEq>(output: &watch::Sender<T>, value: T) {
+    output.send_if_modified(|published| {
+        let changed = *published != value;
+        *published = value;
+        changed
+    });
+}
+
 struct Duty {
     context: Context,
     settings: Settings,
     local: MemberConfig,
     outputs: Outputs,
     state: State,
+    /// What the member that this control VM follows named last.
+    followed: Option<Followed>,
+    /// Time of the last list of control VMs, whether this replica was led then, and the index from which
+    /// its members were in force.
+    listed: ((bool, u64), Micros),
     /// Whether the disk is being reinitialized; meanwhile only storage reports are handled.
     is_reinitializing: bool,
     pending: SlotMap<OperatorCallKey, PendingReply>,
@@ -102,6 +127,8 @@
             local: setup.local,
             outputs,
             state,
+            followed: None,
+            listed: ((false, u64::MAX), Micros(0)),
             is_reinitializing: false,
             pending: SlotMap::default(),
             peer_calls: SlotMap::default(),
@@ -163,6 +190,7 @@
                     peer_call,
                 });
             }
+            Message::Followed(followed) => self.follow(followed),
             Message::Storage(Report::Ack(ack)) => self.step(Input::Storage(ack)),
             Message::Storage(Report::Reinitialized(recovered)) => self.restart(recovered),
             Message::Stop => {}
@@ -177,25 +205,46 @@
         for effect in decide::step(&mut self.state, input, now, rand::random()) {
             self.execute(effect);
         }
-        let is_current = decide::is_current(&self.state, now);
-        self.outputs.is_current.send_if_modified(|published| {
-            let changed = *published != is_current;
-            *published = is_current;
-            changed
-        });
-        self.publish_members();
+        self.publish_standing(now);
     }
 
-    fn publish_members(&self) {
-        let rows = &self.state.members().rows;
-        self.outputs.members.send_if_modified(|published| {
-            let is_same = published.len() == rows.len()
-                && published.iter().zip(rows).all(|(a, row)| *a == row.peers);
-            if !is_same {
-                *published = Arc::new(rows.iter().map(|row| row.peers).collect());
-            }
-            !is_same
-        });
+    /// Adopts what a member that this control VM follows knows.
+    fn follow(&mut self, mut followed: Followed) {
+        let now = self.context.clock.now();
+        self.state.followed_until = now.plus_millis(followed.valid_ms);
+        if let Some(catalog) = followed.catalog.take() {
+            self.publish_newer(|policy| policy.catalog = catalog);
+        }
+        self.followed = Some(followed);
+        self.step(Input::Tick);
+    }
+
+    /// Publishes whether this replica is current, the members, all control VMs and the leader.
+    fn publish_standing(&mut self, now: Micros) {
+        let is_led = decide::is_current(&self.state, now);
+        publish_changed(&self.outputs.is_led, is_led);
+        let is_current = is_led || now < self.state.followed_until;
+        publish_changed(&self.outputs.is_current, is_current);
+        let followed = self.followed.as_ref().filter(|_| !is_led);
+        let leader = match followed {
+            Some(followed) => followed.leader,
+            None => self.state.leader_row().map(|row| row.peers),
+        };
+        publish_changed(&self.outputs.leader, leader);
+        let members_from = self.state.members.last().map_or(0, |(from, _)| *from);
+        let basis = (is_led, members_from);
+        if basis == self.listed.0 && now < self.listed.1.plus_millis(LIST_INTERVAL_MS) {
+            return;
+        }
+        self.listed = (basis, now);
+        let control = match followed {
+            Some(followed) => Arc::clone(&followed.control),
+            None => Arc::new(join::control_vms(&self.state, now)),
+        };
+        let members = control.iter().filter(|row| row.member);
+        let members: Vec<SocketAddr> = members.map(|row| row.peers).collect();
+        publish_changed(&self.outputs.members, Arc::new(members));
+        publish_changed(&self.outputs.control, control);
     }
 
     fn execute(&mut self, effect: Effect) {
@@ -294,7 +343,9 @@
         policy.receipts.extend_from_slice(&receipts[recent..]);
         policy.catalog = Arc::clone(&self.state.machine.catalog);
         let version = policy.version;
-        self.outputs.policies.send_replace(Arc::new(policy));
+        if !self.publish_newer(|published| *published = policy) {
+            return;
+        }
         let level = usize::try_from(version).unwrap_or(usize::MAX);
         self.context.metrics.set_gauge("version", level);
         if version > 0 {
@@ -302,6 +353,22 @@
         }
     }
 
+    /// Publishes a change of the configuration, unless its result is older than what was published: a
+    /// renewed disk recovers from the beginning, and a member that this VM followed was ahead of it.
+    fn publish_newer(&self, change: impl FnOnce(&mut Policy)) -> bool {
+        let age = |policy: &Policy| (policy.catalog.revision, policy.version);
+        self.outputs.policies.send_if_modified(|published| {
+            let mut next = (**published).clone();
+            change(&mut next);
+            let ((revision, version), (old_revision, old_version)) = (age(&next), age(published));
+            let is_newer = revision >= old_revision && version >= old_version;
+            if is_newer {
+                *published = Arc::new(next);
+            }
+            is_newer
+        })
+    }
+
     fn reinitialize(&mut self) {
         self.is_reinitializing = true;
         self.pending.clear();
--- a/src/agree/wire.rs
+++ b/src/agree/wire.rs
@@ -240,4 +240,13 @@
         /// Time of sending of the chunk.
         sent: u64,
     },
+    /// Where the sender is, so that voters can be spread over regions and zones.
+    Located {
+        /// Name of its VM.
+        name: String,
+        /// Name of its region.
+        region: String,
+        /// Name of its availability zone.
+        zone: String,
+    },
 }
--- a/src/beacon/receive.rs
+++ b/src/beacon/receive.rs
@@ -23,14 +23,15 @@
 /// Maximum size of a datagram: two names of 64 letters and some numbers.
 const MAX_DATAGRAM_BYTES: usize = 512;
 
-/// Starts the duty, which publishes every change of the list to `published`. It exits within about
-/// one heartbeat interval after `stop` closes.
+/// Starts the duty, which publishes every change of the list to `published`. `zone` is the local
+/// availability zone, or empty. It exits within about one heartbeat interval after `stop` closes.
 ///
 /// # Errors
 /// The socket cannot be bound, or the thread cannot start.
 pub fn spawn(
     context: Context,
     address: SocketAddr,
+    zone: String,
     published: watch::Sender<Arc<LiveEntries>>,
     mut stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
@@ -55,7 +56,7 @@
                     None => context.metrics.count("beacon_malformed", 1),
                 }
             }
-            if entries.expire(now) {
+            if entries.expire(&zone, now) {
                 changed = true;
                 let live = entries.rows.len();
                 report(
--- a/src/beacon/state.rs
+++ b/src/beacon/state.rs
@@ -8,9 +8,15 @@
 
 /// Interval of heartbeats in milliseconds. Five intervals fit into `EXPIRY_MS`.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 400;
-/// Milliseconds without a heartbeat after which an entry VM is no longer listed. Users allow 6 s,
-/// which must also cover the seconds for which callers cache a response.
+/// Interval in milliseconds of heartbeats to control VMs of other zones, which name this zone's entry VMs
+/// only to callers whose own zone has no control VM: every control VM hears every entry VM, so most
+/// heartbeats go there.
+pub const DISTANT_INTERVAL_MS: u64 = 1_600;
+/// Milliseconds without a heartbeat after which an entry VM is no longer listed, in the local zone and in
+/// others. Users allow 6 s, which must also cover the seconds for which callers cache a response.
 pub const EXPIRY_MS: u64 = 2_000;
+/// The same for entry VMs of other zones.
+pub const DISTANT_EXPIRY_MS: u64 = 4_000;
 
 /// One entry VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,8 +35,9 @@
 }
 
 impl LiveEntries {
-    /// Records a heartbeat that arrived at `now`. Heartbeats of the same incarnation with the same
-    /// or a lower counter are ignored. Returns whether an entry VM was added, or its zone or
+    /// Records a heartbeat that arrived at `now`. Heartbeats of an earlier incarnation, or of the same one
+    /// with the same or a lower counter, are ignored; a VM whose clock was set back is listed again once its
+    /// earlier incarnation has expired. Returns whether an entry VM was added, or its zone or
     /// readiness changed.
     ///
     /// ```
@@ -46,9 +53,9 @@
     /// ```
     pub fn record(&mut self, beacon: Beacon, now: Micros) -> bool {
         let last = self.rows.get(&beacon.callers);
+        let order = |row: &Beacon| (row.incarnation, row.beat);
         if let Some(last) = last
-            && last.beacon.incarnation == beacon.incarnation
-            && last.beacon.beat >= beacon.beat
+            && order(&last.beacon) >= order(&beacon)
         {
             return false;
         }
@@ -59,12 +66,19 @@
         changed
     }
 
-    /// Removes entry VMs whose last heartbeat is at least `EXPIRY_MS` old. Returns whether there
-    /// were any.
-    pub fn expire(&mut self, now: Micros) -> bool {
+    /// Removes entry VMs whose last heartbeat is at least `EXPIRY_MS` old, or `DISTANT_EXPIRY_MS` if they
+    /// are not in `zone`, unless that is empty. Returns whether there were any.
+    pub fn expire(&mut self, zone: &str, now: Micros) -> bool {
         let before = self.rows.len();
-        self.rows
-            .retain(|_, row| now < row.at.plus_millis(EXPIRY_MS));
+        self.rows.retain(|_, row| {
+            let is_near = zone.is_empty() || row.beacon.zone == zone;
+            let expiry_ms = if is_near {
+                EXPIRY_MS
+            } else {
+                DISTANT_EXPIRY_MS
+            };
+            now < row.at.plus_millis(expiry_ms)
+        });
         before != self.rows.len()
     }
 
--- a/src/beacon/tests.rs
+++ b/src/beacon/tests.rs
@@ -1,5 +1,8 @@
 use {
-    super::{Beacon, LiveEntries, state::EXPIRY_MS},
+    super::{
+        Beacon, LiveEntries,
+        state::{DISTANT_EXPIRY_MS, EXPIRY_MS},
+    },
     crate::clock::Micros,
 };
 
@@ -22,12 +25,37 @@
     assert!(entries.nearest("a", |_| true).is_empty());
 }
 
+/// Guards against a delayed datagram of a process that has ended and that makes its successor, which
+/// starts or leaves, look ready.
+#[test]
+fn a_heartbeat_of_an_earlier_incarnation_is_ignored() {
+    let mut entries = LiveEntries::default();
+    let mut successor = beacon(1, "a", 1, false);
+    successor.incarnation = 8;
+    entries.record(successor, Micros(0));
+    assert!(!entries.record(beacon(1, "a", 99, true), Micros(1)));
+    assert!(entries.nearest("a", |_| true).is_empty());
+}
+
+/// Guards against VMs of other zones, which send fewer heartbeats, that expire between two of them, and
+/// against VMs of the local zone that stay listed for as long.
+#[test]
+fn vms_of_other_zones_expire_later() {
+    let mut entries = LiveEntries::default();
+    entries.record(beacon(1, "a", 1, true), Micros(0));
+    entries.record(beacon(2, "b", 1, true), Micros(0));
+    assert!(entries.expire("a", Micros::from_millis(EXPIRY_MS)));
+    assert_eq!(entries.rows.len(), 1);
+    assert!(!entries.expire("a", Micros::from_millis(DISTANT_EXPIRY_MS - 1)));
+    assert!(entries.expire("a", Micros::from_millis(DISTANT_EXPIRY_MS)));
+}
+
 #[test]
 fn a_vm_without_heartbeats_expires() {
     let mut entries = LiveEntries::default();
     entries.record(beacon(1, "a", 1, true), Micros(0));
-    assert!(!entries.expire(Micros::from_millis(EXPIRY_MS - 1)));
-    assert!(entries.expire(Micros::from_millis(EXPIRY_MS)));
+    assert!(!entries.expire("", Micros::from_millis(EXPIRY_MS - 1)));
+    assert!(entries.expire("", Micros::from_millis(EXPIRY_MS)));
     assert!(entries.nearest("a", |_| true).is_empty());
 }
 
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -1,19 +1,27 @@
-//! The thread of the catalog duty on an entry VM, which long-polls two control VMs for changes.
+//! The thread of the catalog duty on an entry VM: long-polls a near control VM for changes, and asks a
+//! distant one whether the near one is behind.
 
 use {
     super::{
-        serve::{FOLLOW_METHOD, FollowRequest, FollowResponse},
+        pages::{self, Page, PageRequest, Standing, Want},
         settings::Settings,
         state::Catalog,
     },
     crate::{
+        agree::ControlVm,
         context::Context,
         duty,
         edge::{Secret, client::Client},
         observe::{Event, report},
     },
     std::{
-        cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration,
+        cell::{Cell, RefCell},
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        thread::JoinHandle,
+        time::Duration,
     },
     tokio::{
         sync::{oneshot, watch},
@@ -21,41 +29,64 @@
     },
 };
 
-/// Number of control VMs that are polled concurrently, so that an unresponsive or disconnected one
-/// delays no update.
-const POLLERS: usize = 2;
-/// Response timeout beyond the long-poll time: three round trips between distant regions.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(250);
+/// Response timeout beyond the long-poll time: a page and the packets that wait on a full link.
+const RESPONSE_MARGIN: Duration = Duration::from_secs(1);
+/// Time for which the near control VM may be behind the distant one: two hops between control VMs.
+const LAG: Duration = Duration::from_millis(200);
+/// Polls of a distant control VM after which a near one is tried again.
+const DISTANT_POLLS: u32 = 20;
 
 /// The catalogue and the state of the fleet as known on this VM.
 #[derive(Clone, Debug)]
 pub struct CatalogView {
     /// Latest catalogue received.
     pub catalog: Arc<Catalog>,
-    /// Peer listeners of the control VMs.
-    pub control: Arc<Vec<SocketAddr>>,
+    /// All control VMs.
+    pub control: Arc<Vec<ControlVm>>,
     /// Number of ready entry VMs in each availability zone, by zone name.
     pub zones: Arc<Vec<(String, u32)>>,
 }
 
+/// Role of one of the two pollers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Poller {
+    /// Polls a control VM of the local zone for rows.
+    Near,
+    /// Polls one of another zone for its revision, and for rows while the near one is behind.
+    Distant,
+}
+
+impl Poller {
+    const ALL: [Self; 2] = [Self::Near, Self::Distant];
+
+    fn index(self) -> usize {
+        usize::from(self == Self::Distant)
+    }
+}
+
 struct Duty {
     context: Context,
+    zone: String,
     settings: Settings,
     secret: Secret,
     seeds: watch::Receiver<Vec<SocketAddr>>,
     publish: Box<dyn Fn(&CatalogView)>,
-    view: RefCell<CatalogView>,
+    /// Catalogue received so far, which may lack the pages after the last one.
+    received: RefCell<Arc<Catalog>>,
+    standing: RefCell<Standing>,
+    standing_hash: Cell<u64>,
     /// Whether each poller's latest request failed; true before its first response.
-    unreachable: RefCell<[bool; POLLERS]>,
+    unreachable: RefCell<[bool; Poller::ALL.len()]>,
 }
 
 /// Starts the duty, which calls `publish` with each changed view and exits when `stop` closes.
-/// `seeds` contains the control VMs of the current settings.
+/// `zone` is the local availability zone; `seeds` contains the control VMs of the current settings.
 ///
 /// # Errors
 /// The thread or its runtime cannot start.
 pub fn spawn(
     context: Context,
+    zone: String,
     settings: Settings,
     secret: Secret,
     seeds: watch::Receiver<Vec<SocketAddr>>,
@@ -64,119 +95,159 @@
 ) -> io::Result<JoinHandle<()>> {
     duty::spawn_local("catalog", move || {
         let duty = Rc::new(Duty {
-            view: RefCell::new(CatalogView {
-                catalog: Arc::default(),
-                control: Arc::new(settings.control.clone()),
-                zones: Arc::default(),
-            }),
             context,
+            zone,
             settings,
             secret,
             seeds,
             publish: Box::new(publish),
-            unreachable: RefCell::new([true; POLLERS]),
+            received: RefCell::default(),
+            standing: RefCell::default(),
+            standing_hash: Cell::new(0),
+            unreachable: RefCell::new([true; Poller::ALL.len()]),
         });
         duty::run_until(stop, async move {
-            let second = tokio::task::spawn_local(Rc::clone(&duty).run(1));
-            duty.run(0).await;
+            let distant = tokio::task::spawn_local(Rc::clone(&duty).run(Poller::Distant));
+            duty.run(Poller::Near).await;
             // The first poller never returns; it is cancelled with the duty.
-            second.abort();
+            distant.abort();
         })
     })
 }
 
 impl Duty {
-    async fn run(self: Rc<Self>, poller: usize) {
-        let mut turn = rand::random::<u16>() as usize * POLLERS + poller;
-        let mut client: Option<(SocketAddr, Client)> = None;
+    async fn run(self: Rc<Self>, poller: Poller) {
+        let random = rand::random();
+        let mut turn = 0;
         loop {
-            if client.is_none() {
-                client = self
-                    .control_vm(turn)
-                    .and_then(|address| self.connect(address));
-            }
-            let responded = match &client {
-                Some((address, client)) => {
-                    let responded = self.poll(client).await;
-                    self.record_outcome(poller, responded, *address);
-                    responded
+            let Some((address, client)) = self.connect(poller, turn, random) else {
+                time::sleep(Duration::from_millis(self.settings.retry_ms)).await;
+                turn += 1;
+                continue;
+            };
+            let mut polls = 0;
+            let error = loop {
+                let result = match poller {
+                    Poller::Near => self.poll(&client, self.settings.hold_ms).await,
+                    Poller::Distant => self.compare(&client).await,
+                };
+                self.record_outcome(poller, result.as_ref().err(), address);
+                if let Err(error) = result {
+                    break Some(error);
+                }
+                polls += 1;
+                if turn > 0 && polls >= DISTANT_POLLS {
+                    break None;
                 }
-                None => false,
             };
-            if !responded {
-                client = None;
+            if error.is_some() {
                 turn += 1;
                 time::sleep(Duration::from_millis(self.settings.retry_ms)).await;
+            } else {
+                turn = 0;
             }
         }
     }
 
-    fn connect(&self, address: SocketAddr) -> Option<(SocketAddr, Client)> {
+    /// Client of the control VM to poll.
+    fn connect(&self, poller: Poller, turn: usize, random: u64) -> Option<(SocketAddr, Client)> {
+        let is_near = poller == Poller::Near;
+        let control = &self.standing.borrow().control;
+        let all = pages::order(control, &self.seeds.borrow(), (&self.zone, is_near), random);
+        let address = *all.get(turn.checked_rem(all.len())?)?;
         let hold = Duration::from_millis(self.settings.hold_ms);
         let client = Client::new(address, &self.secret, hold + RESPONSE_MARGIN).ok()?;
         Some((address, client))
     }
 
-    /// The control VM to poll, round robin over those in the latest response and the seeds.
-    fn control_vm(&self, turn: usize) -> Option<SocketAddr> {
-        let mut all = self.view.borrow().control.to_vec();
-        all.extend(self.seeds.borrow().iter().copied());
-        all.sort_unstable();
-        all.dedup();
-        let at = turn.checked_rem(all.len())?;
-        all.get(at).copied()
+    fn request(&self, hold_ms: u64, want: Want) -> PageRequest {
+        PageRequest {
+            revision: self.received.borrow().revision,
+            hold_ms,
+            want,
+            standing: self.standing_hash.get(),
+        }
+    }
+
+    /// Polls for the next page.
+    async fn poll(&self, client: &Client, hold_ms: u64) -> Result<(), String> {
+        let request = self.request(hold_ms, Want::Rows);
+        match pages::poll(client, &request).await {
+            Ok(page) => {
+                self.apply(page);
+                Ok(())
+            }
+            Err(error) => {
+                self.context.metrics.count("catalog_unreachable", 1);
+                Err(error.to_string())
+            }
+        }
     }
 
-    async fn poll(&self, client: &Client) -> bool {
-        let revision = self.view.borrow().catalog.revision;
-        let request = FollowRequest {
-            revision,
-            hold_ms: self.settings.hold_ms,
-        };
-        let Ok(response) = client.call::<FollowResponse>(FOLLOW_METHOD, &request).await else {
-            self.context.metrics.count("catalog_unreachable", 1);
-            return false;
-        };
-        self.apply(response);
-        true
+    /// Asks a control VM for its revision. If the near one does not deliver it in time, polls this one for
+    /// the rows.
+    async fn compare(&self, client: &Client) -> Result<(), String> {
+        let request = self.request(self.settings.hold_ms, Want::Revision);
+        let page = pages::poll(client, &request).await;
+        let page = page.map_err(|error| error.to_string())?;
+        if page.revision <= self.received.borrow().revision {
+            return Ok(());
+        }
+        time::sleep(LAG).await;
+        while self.received.borrow().revision < page.revision {
+            self.context.metrics.count("catalog_lagged", 1);
+            self.poll(client, 0).await?;
+        }
+        Ok(())
     }
 
-    fn apply(&self, response: FollowResponse) {
-        let mut view = self.view.borrow_mut();
+    /// Applies a page; publishes the view once the last page of a change has arrived.
+    fn apply(&self, page: Page) {
         let mut changed = false;
-        let is_applicable = response.delta.since <= view.catalog.revision;
-        if is_applicable && response.delta.revision > view.catalog.revision {
-            let version = view.catalog.version;
-            changed = Arc::make_mut(&mut view.catalog).merge(response.delta);
-            if view.catalog.version != version {
-                let (version, revision) = (view.catalog.version, view.catalog.revision);
+        let is_last = page.is_last();
+        if let Some(delta) = page.delta {
+            let mut received = self.received.borrow_mut();
+            let version = received.version;
+            let is_next = delta.since <= received.revision && delta.revision > received.revision;
+            changed = is_next && Arc::make_mut(&mut received).merge(delta);
+            if changed && is_last && received.version != version {
+                let (version, revision) = (received.version, received.revision);
                 report(
                     Event::CONFIG_APPLIED,
                     format_args!("version {version}, revision {revision}"),
                 );
             }
         }
-        if !response.control.is_empty() && *view.control != response.control {
-            view.control = Arc::new(response.control);
-            changed = true;
-        }
-        if *view.zones != response.zones {
-            view.zones = Arc::new(response.zones);
+        if let Some(standing) = page.standing {
+            self.standing_hash.set(standing.hash());
+            *self.standing.borrow_mut() = standing;
             changed = true;
         }
-        if changed {
-            (self.publish)(&view);
+        if changed && is_last {
+            self.publish();
         }
     }
 
-    /// Reports the loss of the last reachable control VM, and the first response after it.
-    fn record_outcome(&self, poller: usize, responded: bool, address: SocketAddr) {
+    fn publish(&self) {
+        let standing = self.standing.borrow();
+        (self.publish)(&CatalogView {
+            catalog: Arc::clone(&self.received.borrow()),
+            control: Arc::new(standing.control.clone()),
+            zones: Arc::new(standing.zones.clone()),
+        });
+    }
+
+    /// Reports the loss of the last reachable control VM with its reason, and the first response after it.
+    fn record_outcome(&self, poller: Poller, error: Option<&String>, address: SocketAddr) {
         let mut unreachable = self.unreachable.borrow_mut();
         let was_unreachable = unreachable.iter().all(|failed| *failed);
-        unreachable[poller] = !responded;
+        unreachable[poller.index()] = error.is_some();
         let is_unreachable = unreachable.iter().all(|failed| *failed);
-        if is_unreachable && !was_unreachable {
-            report(Event::CONTROL_UNREACHABLE, format_args!("{address}"));
+        if let Some(error) = error.filter(|_| is_unreachable && !was_unreachable) {
+            report(
+                Event::CONTROL_UNREACHABLE,
+                format_args!("{address}: {error}"),
+            );
         } else if was_unreachable && !is_unreachable {
             report(Event::CONTROL_REACHED, format_args!("{address}"));
         }
--- a/src/catalog/last_reports.rs
+++ b/src/catalog/last_reports.rs
@@ -25,6 +25,17 @@
     unsent: Vec<(String, u64)>,
 }
 
+impl Inner {
+    /// Records a report, unless one of a later incarnation is known: a report that was delayed, or was
+    /// forwarded by another control VM, must not make the running incarnation look silent.
+    fn insert(&mut self, id: String, born: u64) {
+        let is_late = self.rows.get(&id).is_some_and(|(latest, _)| *latest > born);
+        if !is_late {
+            self.rows.insert(id, (born, Instant::now()));
+        }
+    }
+}
+
 impl Default for LastReports {
     fn default() -> Self {
         Self {
@@ -49,7 +60,7 @@
     /// ```
     pub fn record(&self, id: &str, born: u64) {
         let mut inner = self.lock();
-        inner.rows.insert(id.to_owned(), (born, Instant::now()));
+        inner.insert(id.to_owned(), born);
         if !inner.unsent.iter().any(|row| row.0 == id) {
             inner.unsent.push((id.to_owned(), born));
         }
@@ -59,7 +70,7 @@
     pub fn record_all(&self, rows: Vec<(String, u64)>) {
         let mut inner = self.lock();
         for (id, born) in rows {
-            inner.rows.insert(id, (born, Instant::now()));
+            inner.insert(id, born);
         }
     }
 
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -10,6 +10,8 @@
 pub mod follow;
 pub mod last_reports;
 pub mod messages;
+pub mod mirror;
+pub(crate) mod pages;
 pub mod serve;
 pub mod settings;
 pub mod state;
--- a/src/catalog/serve.rs
+++ b/src/catalog/serve.rs
@@ -2,9 +2,13 @@
 //! forwarded by other control VMs.
 
 use {
-    super::{last_reports::LastReports, state::Delta},
+    super::{
+        last_reports::LastReports,
+        pages::{self, EncodedPage, PAGE_METHOD, Page, PageRequest, Standing, Want},
+        state::Delta,
+    },
     crate::{
-        agree::Message,
+        agree::{ControlVm, Message},
         beacon::LiveEntries,
         edge::rpc::{self, UNAVAILABLE},
         policy::Policy,
@@ -21,6 +25,10 @@
 /// Method by which control VMs forward to each other which upstreams reported to them.
 pub(super) const HEARD_METHOD: &str = "catalog.heard";
 
+/// Time for which a change waits for others before it is sent: far below the time within which users expect
+/// a change to be in force (2.5 s), also over two hops.
+const COALESCE: Duration = Duration::from_millis(60);
+
 /// Upstreams that reported to a control VM.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct ReportedUpstreams {
@@ -55,8 +63,14 @@
     pub policies: watch::Receiver<Arc<Policy>>,
     /// Whether this control VM receives updates, so that its state is current.
     pub is_current: watch::Receiver<bool>,
-    /// Peer listeners of the control VMs.
+    /// Whether it receives them by the log, not from a member that it follows.
+    pub is_led: watch::Receiver<bool>,
+    /// Peer listeners of the members.
     pub members: watch::Receiver<Arc<Vec<SocketAddr>>>,
+    /// All control VMs, in ascending order of address.
+    pub control: watch::Receiver<Arc<Vec<ControlVm>>>,
+    /// Peer listener of the leader, as far as known.
+    pub leader: watch::Receiver<Option<SocketAddr>>,
     /// Entry VMs with a recent heartbeat.
     pub entries: watch::Receiver<Arc<LiveEntries>>,
     /// Last report of each upstream.
@@ -79,6 +93,14 @@
         last_reports.record_all(upstreams.rows);
         Ok::<(), ErrorObjectOwned>(())
     })?;
+    let paged = source.clone();
+    module.register_async_method(PAGE_METHOD, move |params, _, _| {
+        let source = paged.clone();
+        async move {
+            let request: PageRequest = rpc::params(&params)?;
+            page(source, request).await
+        }
+    })?;
     module.register_async_method(FOLLOW_METHOD, move |params, _, _| {
         let source = source.clone();
         async move {
@@ -89,6 +111,57 @@
     Ok(())
 }
 
+/// Waits until the catalogue is newer than the follower's, and then for further changes, so that a release
+/// or the first reports of many upstreams take one response in place of many.
+async fn page(mut source: Source, request: PageRequest) -> Result<EncodedPage, ErrorObjectOwned> {
+    let unavailable = || {
+        let text = "this control VM receives no updates";
+        Err(rpc::error(UNAVAILABLE, text, ()))
+    };
+    let mut is_served = if request.want == Want::Copy {
+        source.is_led
+    } else {
+        source.is_current
+    };
+    let hold = Duration::from_millis(request.hold_ms);
+    let newer = async {
+        let newer = source
+            .policies
+            .wait_for(|policy| policy.catalog.revision > request.revision);
+        let has_waited = newer.await.is_ok_and(|_| request.hold_ms > 0);
+        if has_waited && request.want != Want::Revision {
+            time::sleep(COALESCE).await;
+        }
+    };
+    tokio::select! {
+        biased;
+        Ok(_) = is_served.wait_for(|is_served| !is_served) => return unavailable(),
+        // If the channel is closed, the response has the last catalogue.
+        _ = time::timeout(hold, newer) => {}
+    }
+    let catalog = Arc::clone(&source.policies.borrow().catalog);
+    let delta = match request.want {
+        Want::Revision => None,
+        Want::Copy => Some(catalog.page(request.revision, Page::ROWS)),
+        Want::Rows => {
+            let mut delta = catalog.page(request.revision, Page::ROWS);
+            delta.drop_sources();
+            Some(delta)
+        }
+    };
+    let standing = Standing {
+        control: source.control.borrow().to_vec(),
+        leader: *source.leader.borrow(),
+        zones: source.entries.borrow().ready_by_zone(),
+    };
+    let is_new = request.want != Want::Revision && standing.hash() != request.standing;
+    Ok(pages::encode(&Page {
+        revision: catalog.revision,
+        delta,
+        standing: is_new.then_some(standing),
+    }))
+}
+
 async fn respond(
     mut source: Source,
     request: FollowRequest,
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -60,6 +60,21 @@
     pub upstreams: Patch<Upstream>,
 }
 
+impl Delta {
+    /// Drops the rows' texts as the operator submitted them, which only reads need.
+    pub(super) fn drop_sources(&mut self) {
+        for row in &mut self.routes.rows {
+            row.value.source = String::new();
+        }
+        for row in &mut self.services.rows {
+            row.value.source = String::new();
+        }
+        for row in &mut self.limits.rows {
+            row.value.source = String::new();
+        }
+    }
+}
+
 impl Catalog {
     /// Limits on what callers may send, if configured.
     ///
@@ -79,15 +94,59 @@
     /// ```
     #[must_use]
     pub fn since(&self, since: u64) -> Delta {
+        self.between(since, self.revision)
+    }
+
+    /// The first changes after revision `since`, about `max_rows` rows of them. The changes of one revision
+    /// are never divided, so there may be more. The last page has the revision of this catalogue.
+    ///
+    /// ```
+    /// use siskinstep::catalog::{self, Catalog, Order};
+    /// let mut catalog = Catalog::default();
+    /// for zone in ["north-a", "north-b"] {
+    ///     catalog::apply(&mut catalog, Order::Evacuate { zone: zone.into(), on: true }).unwrap();
+    /// }
+    /// assert_eq!(catalog.page(0, 1).revision, 1);
+    /// assert_eq!(catalog.page(1, 1).revision, 2);
+    /// ```
+    #[must_use]
+    pub fn page(&self, since: u64, max_rows: usize) -> Delta {
+        let mut revisions: Vec<u64> = self
+            .routes
+            .revisions(since)
+            .chain(self.services.revisions(since))
+            .chain(self.limits.revisions(since))
+            .chain(self.emptied.revisions(since))
+            .chain(self.upstreams.revisions(since))
+            .collect();
+        if revisions.len() <= max_rows {
+            return self.since(since);
+        }
+        revisions.sort_unstable();
+        let until = revisions[max_rows.max(1) - 1];
+        // A page that replaces a table must reach the revision from which removals are retained, as the
+        // next page would replace the table again.
+        let floors = [
+            self.routes.floor(),
+            self.services.floor(),
+            self.limits.floor(),
+            self.emptied.floor(),
+            self.upstreams.floor(),
+        ];
+        let until = floors.into_iter().fold(until, u64::max);
+        self.between(since, until)
+    }
+
+    fn between(&self, since: u64, until: u64) -> Delta {
         Delta {
             since,
-            revision: self.revision,
+            revision: until,
             version: self.version,
-            routes: self.routes.since(since),
-            services: self.services.since(since),
-            limits: self.limits.since(since),
-            emptied: self.emptied.since(since),
-            upstreams: self.upstreams.since(since),
+            routes: self.routes.between(since, until),
+            services: self.services.between(since, until),
+            limits: self.limits.between(since, until),
+            emptied: self.emptied.between(since, until),
+            upstreams: self.upstreams.between(since, until),
         }
     }
 
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -124,20 +124,34 @@
         }
     }
 
-    /// Changes after revision `since`.
+    /// Latest revision whose removals are no longer retained: a follower that is behind it needs the
+    /// complete table.
+    pub(super) fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Revisions of the changes after revision `since`, in no order.
+    pub(super) fn revisions(&self, since: u64) -> impl Iterator<Item = u64> {
+        let rows = self.rows.iter().map(|row| row.revision);
+        let removed = self.gone.iter().map(|(at, _)| *at);
+        rows.chain(removed).filter(move |at| *at > since)
+    }
+
+    /// Changes after revision `since`, up to and including revision `until`.
     ///
     /// ```
     /// let mut table = siskinstep::catalog::Table::default();
     /// table.put("a", 1, 1);
     /// table.put("b", 2, 2);
-    /// let patch = table.since(1);
+    /// let patch = table.between(1, 2);
     /// assert_eq!(patch.rows.len(), 1);
     /// ```
     #[must_use]
-    pub fn since(&self, since: u64) -> Patch<T> {
+    pub fn between(&self, since: u64, until: u64) -> Patch<T> {
         let whole = since < self.floor;
-        let is_new = |row: &&Row<T>| whole || row.revision > since;
-        let removed = self.gone.iter().filter(|(at, _)| *at > since);
+        let is_new = |row: &&Row<T>| (whole || row.revision > since) && row.revision <= until;
+        let removed = self.gone.iter();
+        let removed = removed.filter(|(at, _)| *at > since && *at <= until);
         Patch {
             whole,
             rows: self.rows.iter().filter(is_new).cloned().collect(),
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -208,6 +208,17 @@
     assert_eq!(last_reports.last_incarnation("u"), None);
 }
 
+/// Guards against an upstream that reports and is removed, because a delayed report of its earlier
+/// incarnation, or one that another control VM forwarded late, was recorded last.
+#[test]
+fn a_report_of_an_earlier_incarnation_does_not_hide_a_later_one() {
+    let reports = LastReports::default();
+    reports.record("u", 9);
+    reports.record("u", 5);
+    reports.record_all(vec![("u".to_owned(), 5)]);
+    assert!(reports.reported_at("u", 9).is_some());
+}
+
 #[test]
 fn an_upstream_with_a_later_start_replaces_the_one_at_its_address() {
     let mut catalog = Catalog::default();
@@ -287,7 +298,8 @@
                     &["x", "y", "z"][..=(step % 3) as usize],
                 ),
                 _ => {
-                    follower.merge(catalog.since(follower.revision));
+                    // One page of few rows, as over a slow link.
+                    follower.merge(catalog.page(follower.revision, usize::from(step % 4) + 1));
                     continue;
                 }
             };
@@ -296,7 +308,9 @@
                 assert_eq!(before, catalog);
             }
         }
-        follower.merge(catalog.since(follower.revision));
+        while follower.revision < catalog.revision {
+            assert!(follower.merge(catalog.page(follower.revision, 2)));
+        }
         assert_eq!(follower.revision, catalog.revision);
         assert_eq!(follower.routes.rows(), catalog.routes.rows());
         assert_eq!(follower.upstreams.rows(), catalog.upstreams.rows());
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -4,9 +4,10 @@
     super::settings::Settings,
     crate::{
         admin, agree, beacon,
-        catalog::{self, last_reports::LastReports},
+        catalog::{self, last_reports::LastReports, mirror},
         context::Context,
         edge::{self, Handler, Listener, ListenerHandle, Secret, listener::ListenError, rpc},
+        handover,
         keys::DiskId,
         observe::{Event, report},
         operator,
@@ -65,7 +66,8 @@
     admin: ListenerHandle,
     ring: ring::Sender<agree::Message>,
     catalog_source: catalog::serve::Source,
-    stops: [oneshot::Sender<()>; 2],
+    handover: ring::AsyncSender<handover::Message>,
+    stops: [oneshot::Sender<()>; 3],
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -80,29 +82,23 @@
         let (policies, policies_rx) = watch::channel(Arc::default());
         let (is_current_tx, is_current_rx) = watch::channel(true);
         let (members_tx, members) = watch::channel(Arc::default());
+        let (control_tx, control) = watch::channel(Arc::default());
+        let (leader_tx, leader) = watch::channel(None);
+        let (is_led_tx, is_led) = watch::channel(true);
         let replica = Replica {
             members: members_tx,
             ring: agree_ring,
             sender: agree.clone(),
             policies,
             is_current: is_current_tx,
+            is_led: is_led_tx,
+            control: control_tx,
+            leader: leader_tx,
         };
         let mut threads = start_replica(settings, &context, secret, replica)?;
         let listeners = settings.listeners;
         let fleet = Fleet::new(context.clock);
-        let (operator_context, ring, operator_fleet) =
-            (context.clone(), agree.clone(), fleet.clone());
-        let operators = listen(
-            "operators",
-            listeners.operators,
-            settings,
-            &context,
-            Some(secret),
-            move || {
-                operator::handler(&operator_context, ring, operator_fleet)
-                    .unwrap_or_else(|error| empty_handler(&error))
-            },
-        )?;
+        let operators = listen_operators(settings, &context, secret, (&agree, &fleet))?;
         let mut module = RpcModule::new(());
         agree::transport::register(&mut module, agree.clone())?;
         let (entries_tx, entries_rx) = watch::channel(Arc::default());
@@ -110,6 +106,7 @@
         let beacons_thread = beacon::receive::spawn(
             context.clone(),
             listeners.beacons,
+            settings.agree.zone.clone(),
             entries_tx,
             beacons_stopped,
         );
@@ -117,7 +114,10 @@
         let source = catalog::serve::Source {
             policies: policies_rx.clone(),
             is_current: is_current_rx.clone(),
+            is_led,
             members,
+            control,
+            leader,
             entries: entries_rx,
             last_reports: LastReports::default(),
             ring: agree.clone(),
@@ -133,6 +133,11 @@
             census_stopped,
         );
         threads.push(census_thread.context(ThreadSnafu { name: "census" })?);
+        let (handover, handover_receiver) = ring::bounded_async(settings.vm.ring);
+        let (mirror_stop, mirror_stopped) = oneshot::channel();
+        let inputs = (mirror_stopped, handover_receiver);
+        threads.extend(start_helpers(settings, &context, secret, &source, inputs)?);
+        handover::serve::register(&mut module, agree.clone())?;
         catalog::serve::register(&mut module, source)?;
         let source = Source {
             policies: policies_rx,
@@ -148,15 +153,7 @@
             Some(secret),
             move || rpc::handler(module),
         )?;
-        let deps = admin::Dependencies::metrics_only(context.clone());
-        let admin = listen(
-            "admin",
-            listeners.admin,
-            settings,
-            &context,
-            None,
-            move || admin::handler(deps),
-        )?;
+        let admin = listen_admin(settings, &context)?;
         report(Event::STARTED, format_args!("control {}", context.vm));
         Ok(Self {
             context,
@@ -165,7 +162,8 @@
             admin,
             ring: agree,
             catalog_source,
-            stops: [beacons_stop, census_stop],
+            handover,
+            stops: [beacons_stop, census_stop, mirror_stop],
             threads,
         })
     }
@@ -200,6 +198,12 @@
         self.catalog_source.clone()
     }
 
+    /// Ring of the handover duty, to which front ends send orders and reads.
+    #[must_use]
+    pub fn handover(&self) -> ring::AsyncSender<handover::Message> {
+        self.handover.clone()
+    }
+
     /// Shuts down gracefully: commands in flight still get their responses.
     pub fn stop(self) {
         report(Event::STOPPING, format_args!("control {}", self.context.vm));
@@ -210,6 +214,7 @@
         // The duty may have terminated already.
         let _ = self.ring.send(agree::Message::Stop);
         drop(self.stops);
+        drop(self.handover);
         for thread in self.threads {
             // The panic hook has already reported a panicked duty.
             let _ = thread.join();
@@ -225,6 +230,9 @@
     policies: watch::Sender<Arc<Policy>>,
     is_current: watch::Sender<bool>,
     members: watch::Sender<Arc<Vec<SocketAddr>>>,
+    is_led: watch::Sender<bool>,
+    control: watch::Sender<Arc<Vec<agree::ControlVm>>>,
+    leader: watch::Sender<Option<SocketAddr>>,
 }
 
 /// Starts the threads that write the data folder, send messages to peers, and run the replicated
@@ -261,12 +269,53 @@
         policies: replica.policies,
         is_current: replica.is_current,
         members: replica.members,
+        is_led: replica.is_led,
+        control: replica.control,
+        leader: replica.leader,
     };
     let agree_thread = agree::spawn(context.clone(), setup, replica.ring, outputs);
     let agree_thread = agree_thread.context(ThreadSnafu { name: "agree" })?;
     Ok(vec![agree_thread, storage_thread, peers_thread])
 }
 
+/// Starts the threads that copy the catalogue while this VM has no place in the log, and that hand calls
+/// over to the leader.
+fn start_helpers(
+    settings: &Settings,
+    context: &Context,
+    secret: &Secret,
+    source: &catalog::serve::Source,
+    (mirror_stopped, calls): (
+        oneshot::Receiver<()>,
+        ring::AsyncReceiver<handover::Message>,
+    ),
+) -> Result<[JoinHandle<()>; 2], StartError> {
+    let local = settings.local_member().peers;
+    let setup = mirror::Setup {
+        local,
+        zone: settings.agree.zone.clone(),
+        seeds: settings.agree.members.iter().map(|row| row.peers).collect(),
+    };
+    let mirror = mirror::spawn(
+        context.clone(),
+        setup,
+        secret.clone(),
+        source.clone(),
+        mirror_stopped,
+    );
+    let deps = handover::Dependencies {
+        context: context.clone(),
+        local,
+        secret: secret.clone(),
+        source: source.clone(),
+    };
+    let handover = handover::spawn(deps, calls);
+    Ok([
+        mirror.context(ThreadSnafu { name: "mirror" })?,
+        handover.context(ThreadSnafu { name: "handover" })?,
+    ])
+}
+
 /// Opens and recovers the data folder. Without one, state is lost when the process exits.
 fn open_folder(path: &str) -> Result<(Option<Folder>, Recovered), StartError> {
     let new_disk = DiskId(rand::random::<u64>() | 1);
@@ -293,6 +342,34 @@
     rpc::handler(RpcModule::new(()))
 }
 
+fn listen_admin(settings: &Settings, context: &Context) -> Result<ListenerHandle, ListenError> {
+    let deps = admin::Dependencies::metrics_only(context.clone());
+    let address = settings.listeners.admin;
+    let make_handler = move || admin::handler(deps);
+    listen("admin", address, settings, context, None, make_handler)
+}
+
+fn listen_operators(
+    settings: &Settings,
+    context: &Context,
+    secret: &Secret,
+    (ring, fleet): (&ring::Sender<agree::Message>, &Fleet),
+) -> Result<ListenerHandle, ListenError> {
+    let (inner, ring, fleet) = (context.clone(), ring.clone(), fleet.clone());
+    let make_handler = move || {
+        operator::handler(&inner, ring, fleet).unwrap_or_else(|error| empty_handler(&error))
+    };
+    let address = settings.listeners.operators;
+    listen(
+        "operators",
+        address,
+        settings,
+        context,
+        Some(secret),
+        make_handler,
+    )
+}
+
 fn listen(
     name: &'static str,
     address: SocketAddr,
--- a/src/gateway/wiring.rs
+++ b/src/gateway/wiring.rs
@@ -131,9 +131,15 @@
             ready: false,
         };
         let beacon_thread = beacon::send::spawn(local, beacon_ring);
-        let publish = publisher(handle.clone(), beacon.clone(), settings.beacon_port);
+        let publish = publisher(
+            handle.clone(),
+            beacon.clone(),
+            settings.zone.clone(),
+            settings.beacon_port,
+        );
         let catalog_thread = follow::spawn(
             context.clone(),
+            settings.zone.clone(),
             settings.catalog.clone(),
             secret.clone(),
             seeds_rx,
@@ -230,6 +236,7 @@
 fn publisher(
     handle: GatewayHandle,
     beacon: Sender<send::Message>,
+    zone: String,
     beacon_port: u16,
 ) -> impl Fn(&CatalogView) + Send {
     move |view| {
@@ -238,7 +245,10 @@
         // blocks on the catalogue's thread.
         let _ = handle.steer.send(message);
         let rows = view.control.iter();
-        let control = rows.map(|row| SocketAddr::new(row.ip(), beacon_port));
+        let control = rows.map(|row| {
+            let is_near = row.zone.is_empty() || row.zone == zone;
+            (SocketAddr::new(row.peers.ip(), beacon_port), is_near)
+        });
         let _ = beacon.send(send::Message::Control(control.collect()));
         let has_version = view.catalog.version > 0;
         if has_version && !handle.has_configuration.swap(true, Ordering::SeqCst) {
--- /dev/null
+++ b/src/handover/thread.rs
@@ -0,0 +1,181 @@
+//! Thread of the handover duty: a single-threaded runtime that runs every call as a task.
+
+use {
+    super::{
+        decide::{self, Next},
+        messages::{Message, ReadResult},
+        serve::{self, HandedOrder, HandedRead, ORDER_METHOD, READ_METHOD},
+    },
+    crate::{
+        agree::{SubmitResult, Unavailable},
+        catalog::{Order, serve::Source},
+        context::Context,
+        duty,
+        edge::{Secret, client::Client},
+        ring::AsyncReceiver,
+        sorted::Sorted,
+    },
+    jsonrpsee::core::ClientError,
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration,
+    },
+    tokio::{sync::Semaphore, time},
+};
+
+/// Timeout of a call to the leader: callers wait for a second, and then call another control VM.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Calls to the leader at the same time, each on a connection of its own.
+const MAX_CALLS: usize = 16;
+/// Time for which a call waits while there is no leader: less than callers wait.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time within which the copy of this control VM reaches the revision of a read.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Dependencies of the duty.
+#[derive(Clone, Debug)]
+pub struct Dependencies {
+    /// Context of this process.
+    pub context: Context,
+    /// Peer listener of this control VM.
+    pub local: SocketAddr,
+    /// Secret of the peer listeners.
+    pub secret: Secret,
+    /// State of this control VM, and the ring for its log.
+    pub source: Source,
+}
+
+#[derive(Clone)]
+struct Duty {
+    deps: Dependencies,
+    clients: Rc<RefCell<Sorted<SocketAddr, Client>>>,
+    calls: Rc<Semaphore>,
+}
+
+/// Starts the duty, which exits when `receiver` closes.
+///
+/// # Errors
+/// The thread or its runtime cannot start.
+pub fn spawn(deps: Dependencies, receiver: AsyncReceiver<Message>) -> io::Result<JoinHandle<()>> {
+    duty::spawn_local("handover", move || run(deps, receiver))
+}
+
+async fn run(deps: Dependencies, mut receiver: AsyncReceiver<Message>) {
+    let duty = Duty {
+        deps,
+        clients: Rc::default(),
+        calls: Rc::new(Semaphore::new(MAX_CALLS)),
+    };
+    while let Some(message) = receiver.recv().await {
+        let duty = duty.clone();
+        tokio::task::spawn_local(async move {
+            match message {
+                Message::Order { order, reply } => reply(duty.order(order).await),
+                Message::Read { reply } => reply(duty.read().await),
+            }
+        });
+    }
+}
+
+impl Duty {
+    fn next(&self, tries: usize, last: Option<&Unavailable>) -> Next {
+        let leader = *self.deps.source.leader.borrow();
+        decide::next(tries, last, leader, self.deps.local)
+    }
+
+    /// Waits for the end of an election, but not for long.
+    async fn wait_for_leader(&self) {
+        let mut leader = self.deps.source.leader.clone();
+        let elected = leader.wait_for(Option::is_some);
+        // Without a leader, the log names the reason.
+        let _ = time::timeout(ELECTION_TIMEOUT, elected).await;
+    }
+
+    async fn order(&self, order: Box<Order>) -> SubmitResult {
+        self.wait_for_leader().await;
+        let mut last = None;
+        for tries in 0.. {
+            let result = match self.next(tries, last.as_ref()) {
+                Next::Local => serve::submit(&self.deps.source.ring, order.clone()).await,
+                Next::Remote(leader) => {
+                    let handed = HandedOrder {
+                        order: (*order).clone(),
+                    };
+                    self.call(leader, ORDER_METHOD, &handed).await
+                }
+                Next::Fail(reason) => return Err(reason),
+            };
+            match result {
+                Err(reason) => last = Some(reason),
+                result => return result,
+            }
+        }
+        Err(Unavailable::NoQuorum)
+    }
+
+    async fn read(&self) -> ReadResult {
+        self.wait_for_leader().await;
+        let mut last = None;
+        for tries in 0.. {
+            let result = match self.next(tries, last.as_ref()) {
+                Next::Local => serve::read(&self.deps.source.ring).await,
+                Next::Remote(leader) => self.call(leader, READ_METHOD, &HandedRead {}).await,
+                Next::Fail(reason) => return Err(reason),
+            };
+            match result {
+                Err(reason) => last = Some(reason),
+                Ok(revision) => return self.reach(revision).await,
+            }
+        }
+        Err(Unavailable::NoQuorum)
+    }
+
+    /// The catalogue of this control VM once it has reached `revision`.
+    async fn reach(&self, revision: u64) -> ReadResult {
+        let mut policies = self.deps.source.policies.clone();
+        let reached = policies.wait_for(|policy| policy.catalog.revision >= revision);
+        match time::timeout(CATCH_UP_TIMEOUT, reached).await {
+            Ok(Ok(policy)) => Ok(Arc::clone(&policy.catalog)),
+            _ => Err(Unavailable::Busy),
+        }
+    }
+
+    /// Calls the leader. Without a response, the call may have taken effect.
+    async fn call<T: DeserializeOwned>(
+        &self,
+        leader: SocketAddr,
+        method: &str,
+        params: &impl Serialize,
+    ) -> Result<T, Unavailable> {
+        // The semaphore is never closed.
+        let _permit = self.calls.acquire().await;
+        let Some(client) = self.client(leader) else {
+            return Err(Unavailable::Busy);
+        };
+        self.deps.context.metrics.count("handed_over", 1);
+        match client.call::<Result<T, Unavailable>>(method, params).await {
+            Ok(result) => result,
+            Err(ClientError::Call(error)) => {
+                self.deps.context.metrics.count("handover_refused", 1);
+                log::debug!("{leader}: {error}");
+                Err(Unavailable::Busy)
+            }
+            Err(error) => {
+                self.deps.context.metrics.count("handover_failed", 1);
+                log::debug!("{leader}: {error}");
+                Err(Unavailable::Unknown)
+            }
+        }
+    }
+
+    fn client(&self, address: SocketAddr) -> Option<Client> {
+        let mut clients = self.clients.borrow_mut();
+        if clients.get(&address).is_none() {
+            // Connections to former leaders are not needed again soon.
+            clients.retain(|_, _| false);
+            let client = Client::new(address, &self.deps.secret, CALL_TIMEOUT).ok()?;
+            clients.insert(address, client);
+        }
+        clients.get(&address).cloned()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 // Duties of a control VM.
 pub mod agree;
 pub mod catalog;
+pub mod handover;
 pub mod operator;
 pub mod policy;
 pub mod storage;
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -473,13 +473,21 @@
     let chunk = format!("400\r\n{}\r\n", "x".repeat(1_024));
     let cases: [(&str, &str, Option<Reason>); 4] = [
         ("", "no answer at all ", Some(Reason::AnswerCut)),
-        ("HTTP/1.1 200 OK\r\n", "more: and more\r\n", Some(Reason::AnswerCut)),
+        (
+            "HTTP/1.1 200 OK\r\n",
+            "more: and more\r\n",
+            Some(Reason::AnswerCut),
+        ),
         (
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
             &chunk,
             Some(Reason::AnswerTooLarge),
         ),
-        ("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", "more", None),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+            "more",
+            None,
+        ),
     ];
     for (start, repeated, expected) in cases {
         let (start, repeated) = (start.to_owned(), repeated.to_owned());
