Elect sooner after a restart of all control VMs, and spread reports over control VMs

Change: after a start, a replica waits two heartbeats for a leader, stands at a time drawn from its disk's name, and repeats pre-votes after a third of the time-out; publications 25 ms apart at least; orders handed over in batches; pages wait longer while many upstreams register; each upstream is told the control VM of its zone that it should report to (by its name); only the leader looks for silent upstreams; a change of members that the voters heard cannot commit is not proposed; E2004 names the members; callers of a VM without a configuration are asked to come back after 0.6 to 1.2 s.

Ruled out: serving the last known configuration without a leader, as a server that left might be used again.

--- a/src/agree/elect.rs
+++ b/src/agree/elect.rs
@@ -11,6 +11,9 @@
     crate::{clock::Micros, keys::DiskId, storage::Position},
 };
 
+/// Divisor of the election time-out that gives the shortest time between two pre-votes.
+const PRE_VOTE_DIVISOR: u64 = 3;
+
 /// Starts a pre-vote when no message of a leader arrived by the deadline; as a leader, steps down
 /// without a quorum.
 pub(super) fn tick(step: &mut Step<'_>) {
@@ -24,9 +27,16 @@
     if step.now < step.state.election_deadline {
         return;
     }
+    if step.state.is_voter() && !step.state.admitted {
+        // The others have not confirmed yet that this disk lacks nothing; most do so within a heartbeat.
+        step.state.election_deadline = step.after(step.state.settings.heartbeat_ms);
+        return;
+    }
     reset_election_deadline(step);
-    let may_stand = step.state.is_voter() && step.state.admitted && step.state.disk_error.is_none();
-    if may_stand {
+    if step.state.is_voter() && step.state.disk_error.is_none() {
+        // A pre-vote binds nothing, so it is repeated sooner than an election.
+        let part_ms = (step.state.settings.election_ms / PRE_VOTE_DIVISOR).max(1);
+        step.state.election_deadline = step.after(part_ms + step.random % part_ms);
         step.state.leader = DiskId(0);
         step.state.role = Role::PreCandidate(vec![step.state.hard.disk]);
         request_votes(step, true);
@@ -95,7 +105,7 @@
 /// Becomes a follower of the sender of a message that only the leader of its term sends.
 pub(super) fn accept_leader(step: &mut Step<'_>, envelope: &Envelope) {
     become_follower(step, envelope.term, envelope.from);
-    step.state.last_contact = step.now;
+    step.state.lease_until = step.after(step.state.settings.election_ms);
     reset_election_deadline(step);
     if step.state.hard.cluster == 0 {
         step.state.hard.cluster = envelope.cluster;
@@ -162,8 +172,7 @@
 /// Whether this replica has a leader, or may have had one before it restarted. It then grants no
 /// votes, so that a working leader is not replaced.
 fn may_have_leader(step: &Step<'_>) -> bool {
-    let lease = step.state.settings.election_ms;
-    step.state.is_leader() || step.now < step.state.last_contact.plus_millis(lease)
+    step.state.is_leader() || step.now < step.state.lease_until
 }
 
 fn would_grant_vote(step: &Step<'_>, term: u64, last: Position) -> bool {
--- a/src/agree/member.rs
+++ b/src/agree/member.rs
@@ -77,6 +77,13 @@
     (members.voters().count() > 0).then_some(members)
 }
 
+/// Whether the voters that the leader still hears make a quorum of `next`, so that the change can be
+/// committed. Without one, an entry that only this replica has would keep the others from electing a leader.
+fn keeps_quorum(state: &State, next: &Members, now: Micros) -> bool {
+    let is_heard = |disk: &DiskId| *disk == state.hard.disk || is_alive(state, *disk, now);
+    next.voters().filter(is_heard).count() >= next.quorum()
+}
+
 /// Whether the leader received nothing from that other member for `silent_ms`.
 fn is_silent(state: &State, row: &Member, now: Micros) -> bool {
     let last_contact = last_contact(state, row.disk);
@@ -112,7 +119,7 @@
         let silent = next.rows.iter().position(|row| is_silent(state, row, now));
         if let Some(at) = silent {
             next.rows.remove(at);
-            return (next.voters().count() > 0).then_some(next);
+            return keeps_quorum(state, &next, now).then_some(next);
         }
         let (voters, voter_places, local) = placement::voters(state)?;
         if voters.len() != next.rows.len() || voters.len() > MAX_VOTERS {
@@ -172,7 +179,7 @@
         _ => learner.name.clone(),
     };
     members.rows.retain(|row| row.name != removed);
-    Some(members)
+    keeps_quorum(state, &members, now).then_some(members)
 }
 
 fn propose(step: &mut Step<'_>, members: Members, operator_call: Option<OperatorCallKey>) {
@@ -190,6 +197,10 @@
         None if !may_change(step.state) => Err(Unavailable::Busy),
         None => match apply_change(step.state.members(), change) {
             Ok(members) if members == *step.state.members() => Ok(Ok(())),
+            Ok(members) if !keeps_quorum(step.state, &members, step.now) => {
+                let text = "too few of the remaining voters respond; try again once they do";
+                Ok(Err(text.to_owned()))
+            }
             Ok(members) => return propose(step, members, Some(operator_call)),
             Err(text) => Ok(Err(text)),
         },
--- a/src/agree/placement.rs
+++ b/src/agree/placement.rs
@@ -13,6 +13,9 @@
     std::{net::SocketAddr, sync::Arc},
 };
 
+/// Heartbeat intervals between two messages with the place of this VM, which does not change.
+const LOCATED_HEARTBEATS: u64 = 8;
+
 /// Region and availability zone of a control VM, by name.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Place {
@@ -83,9 +86,11 @@
 /// Tells the other control VMs where this one is: the leader, or while this replica has none, all.
 pub(super) fn announce(step: &mut Step<'_>, others: &[SocketAddr]) {
     let settings = &step.state.settings;
-    if settings.zone.is_empty() {
+    if settings.zone.is_empty() || step.now < step.state.next_located {
         return;
     }
+    step.state.next_located = step.after(LOCATED_HEARTBEATS * settings.heartbeat_ms);
+    let settings = &step.state.settings;
     let body = Body::Located {
         name: step.state.local.name.clone(),
         region: settings.region.clone(),
--- a/src/agree/state.rs
+++ b/src/agree/state.rs
@@ -18,6 +18,9 @@
     std::{collections::VecDeque, net::SocketAddr, sync::Arc},
 };
 
+/// Heartbeat intervals after a start within which a leader that still works is heard.
+const RESTART_HEARTBEATS: u64 = 2;
+
 /// The leader's record of another member.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Progress {
@@ -103,8 +106,9 @@
     pub(super) role: Role,
     pub(super) leader: DiskId,
     pub(super) started: Micros,
-    /// Time of the latest message of a leader, or of the start of this process.
-    pub(super) last_contact: Micros,
+    /// Time until which a leader may rely on this replica: an election time-out after its latest message.
+    /// After a start, the time within which a leader that still works sends its next one.
+    pub(super) lease_until: Micros,
     /// Time at which the log last contained everything that the leader reported as committed; zero if
     /// never.
     pub(super) caught_up_at: Micros,
@@ -113,6 +117,8 @@
     pub(super) admitted: bool,
     pub(super) welcomes: Sorted<String, ReceivedWelcome>,
     pub(super) next_hello: Micros,
+    /// Time of the next message with the place of this VM.
+    pub(super) next_located: Micros,
     /// Peer addresses that the latest welcome named.
     pub(super) reported_peers: Vec<SocketAddr>,
     pub(super) promises: Sorted<DiskId, Promise>,
@@ -175,7 +181,10 @@
         let last = log.last().index;
         // A new disk has acknowledged nothing, so it cannot have lost state.
         let is_new_disk = last == 0 && recovered.hard.boot <= 1;
-        let election_deadline = now.plus_millis(settings.election_ms);
+        let lease_until = now.plus_millis(RESTART_HEARTBEATS * settings.heartbeat_ms);
+        // Replicas that start together stand at different times.
+        let offset_ms = recovered.hard.disk.0 % settings.election_ms.max(1);
+        let election_deadline = lease_until.plus_millis(offset_ms);
         let mut places = Sorted::default();
         if !settings.zone.is_empty() {
             let place = Place {
@@ -197,12 +206,13 @@
             role: Role::Follower,
             leader: DiskId(0),
             started: now,
-            last_contact: now,
+            lease_until,
             caught_up_at: Micros(0),
             election_deadline,
             admitted: is_new_disk,
             welcomes: Sorted::default(),
             next_hello: now,
+            next_located: now,
             reported_peers: Vec::new(),
             promises: Sorted::default(),
             hellos: Sorted::default(),
--- a/src/agree/tests/oracle.rs
+++ b/src/agree/tests/oracle.rs
@@ -9,7 +9,7 @@
         keys::DiskId,
         policy::{Accepted, Rejection},
         sorted::Sorted,
-        storage::{Batch, Entry, Recovered},
+        storage::{Batch, Entry, HardState, Recovered},
     },
 };
 
@@ -25,6 +25,8 @@
     pub(super) leaders: Sorted<u64, DiskId>,
     /// Index and voters of the latest committed members.
     pub(super) voters: (u64, Vec<DiskId>),
+    /// Candidate for which each disk voted in each term.
+    votes: Sorted<(DiskId, u64), DiskId>,
     /// Newest version that any result has shown.
     pub(super) newest_version: u64,
     pub(super) accepted: usize,
@@ -56,6 +58,12 @@
     }
 }
 
+/// Whether a disk can give no other vote in `term`: it holds the vote for `candidate`, or a later term. Two
+/// votes of consecutive terms may share a write, which then holds the later one only.
+fn is_durable(hard: HardState, term: u64, candidate: DiskId) -> bool {
+    hard.term > term || (hard.term, hard.vote) == (term, candidate)
+}
+
 /// Checks that the state that a message acknowledges is on the sender's disk before it is sent.
 pub(super) fn check_promise(disk: &Recovered, envelope: &Envelope) {
     let hard = disk.hard;
@@ -65,17 +73,15 @@
             granted: true,
             term,
             ..
-        } => assert_eq!(
-            (hard.term, hard.vote),
-            (term, envelope.to),
-            "vote not durable"
+        } => assert!(
+            is_durable(hard, term, envelope.to),
+            "vote not durable: {hard:?}, {envelope:?}"
         ),
         Body::Ask {
             trial: false, term, ..
-        } => assert_eq!(
-            (hard.term, hard.vote),
-            (term, hard.disk),
-            "local vote not durable"
+        } => assert!(
+            is_durable(hard, term, hard.disk),
+            "local vote not durable: {hard:?}, {envelope:?}"
         ),
         Body::Appended {
             agrees: true,
@@ -92,6 +98,28 @@
 }
 
 impl Oracle {
+    /// Checks that no disk votes for two candidates in one term, whatever it holds when it says so.
+    pub(super) fn check_vote(&mut self, envelope: &Envelope) {
+        let vote = match envelope.body {
+            Body::Vote {
+                trial: false,
+                granted: true,
+                term,
+                ..
+            } => (term, envelope.to),
+            Body::Ask {
+                trial: false, term, ..
+            } => (term, envelope.from),
+            _ => return,
+        };
+        let (term, candidate) = vote;
+        let before = self.votes.insert((envelope.from, term), candidate);
+        assert!(
+            before.is_none_or(|before| before == candidate),
+            "two votes in one term: {envelope:?}"
+        );
+    }
+
     /// Checks that two consecutive memberships differ by at most one voter, so that their quorums
     /// overlap.
     pub(super) fn check_members(&mut self, entry: &Entry) {
--- a/src/agree/tests/scripted.rs
+++ b/src/agree/tests/scripted.rs
@@ -303,6 +303,34 @@
     }
 }
 
+/// Guards against a cluster that takes seconds to elect a leader after all its VMs lost power together, as
+/// each of them waits for a leader of before.
+#[test]
+fn a_cluster_that_restarts_as_a_whole_elects_a_leader_within_a_time_out() {
+    let mut slow = 0;
+    for seed in 0..20 {
+        let mut world = World::with_auto_join(seed, FOUNDERS, 6);
+        world.run(15_000);
+        accept_commands(&mut world, 3);
+        for node in 0..6 {
+            world.crash(node);
+        }
+        world.run(500);
+        for node in 0..6 {
+            world.start(node, FOUNDERS);
+            // They do not start at the same moment.
+            world.run(40);
+        }
+        // The election time-out of these replicas is 1 s.
+        world.run(900);
+        slow += usize::from(world.leader().is_none());
+        world.run(5_000);
+        assert!(world.leader().is_some(), "seed {seed}");
+        accept_commands(&mut world, 3);
+    }
+    assert!(slow <= 1, "{slow} of 20");
+}
+
 /// Guards against a full cluster that keeps a dead member permanently: nine VMs vote, the maximum; one
 /// of them stops permanently and a tenth starts.
 #[test]
--- a/src/agree/tests/world.rs
+++ b/src/agree/tests/world.rs
@@ -430,6 +430,7 @@
 
     fn send(&mut self, from: usize, to: SocketAddr, envelope: &Envelope) {
         check_promise(&self.nodes[from].disk, envelope);
+        self.oracle.check_vote(envelope);
         let to = usize::from(to.port() - 9_000);
         let pair = (from.min(to), from.max(to));
         let copies = 1 + u32::from(
--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -30,6 +30,9 @@
 /// is new.
 const MAX_PUBLISHED_RECEIPTS: usize = 256;
 const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Shortest interval in milliseconds between two publications of the configuration: short against the time
+/// within which a change has to be in force (2.5 s).
+const PUBLISH_INTERVAL_MS: u64 = 25;
 /// Interval in milliseconds at which control VMs that are not members are listed anew.
 const LIST_INTERVAL_MS: u64 = 250;
 
@@ -103,6 +106,9 @@
     state: State,
     /// What the member that this control VM follows named last.
     followed: Option<Followed>,
+    /// Whether the configuration is newer than what was published, and the last time it was published.
+    is_unpublished: bool,
+    published_at: Micros,
     /// Time of the last list of control VMs, whether this replica was led then, and the index from which
     /// its members were in force.
     listed: ((bool, u64), Micros),
@@ -128,6 +134,8 @@
             outputs,
             state,
             followed: None,
+            is_unpublished: false,
+            published_at: Micros(0),
             listed: ((false, u64::MAX), Micros(0)),
             is_reinitializing: false,
             pending: SlotMap::default(),
@@ -140,7 +148,11 @@
     fn run(mut self, ring: &Ring<Message>) {
         loop {
             let now = self.context.clock.now();
-            let wait = decide::next_wake(&self.state).since(now).min(MAX_WAIT);
+            let mut wake = decide::next_wake(&self.state);
+            if self.is_unpublished {
+                wake = wake.min(self.published_at.plus_millis(PUBLISH_INTERVAL_MS));
+            }
+            let wait = wake.since(now).min(MAX_WAIT);
             match ring.recv_within(wait) {
                 Wait::Message(Message::Stop) | Wait::Closed => return,
                 Wait::Message(message) => self.handle(message),
@@ -205,9 +217,20 @@
         for effect in decide::step(&mut self.state, input, now, rand::random()) {
             self.execute(effect);
         }
+        self.publish_due(now);
         self.publish_standing(now);
     }
 
+    /// Publishes the configuration if it is newer than what was published and the last time is long enough
+    /// ago: each time, the next change copies the whole catalogue.
+    fn publish_due(&mut self, now: Micros) {
+        if self.is_unpublished && now >= self.published_at.plus_millis(PUBLISH_INTERVAL_MS) {
+            self.is_unpublished = false;
+            self.published_at = now;
+            self.publish();
+        }
+    }
+
     /// Adopts what a member that this control VM follows knows.
     fn follow(&mut self, mut followed: Followed) {
         let now = self.context.clock.now();
@@ -277,7 +300,7 @@
                 operator_call,
                 result,
             } => self.reply_members(operator_call, result),
-            Effect::Publish => self.publish(),
+            Effect::Publish => self.is_unpublished = true,
             Effect::Reinitialize => self.reinitialize(),
             Effect::Note(note) => self.note(note),
         }
@@ -405,6 +428,21 @@
         let term = self.state.hard.term;
         match &self.state.disk_error {
             Some(error) => report(event, format_args!("term {term}: {error}")),
+            None if note == Note::MembersChanged => {
+                let rows = &self.state.members().rows;
+                let names = |voter: bool| -> Vec<&str> {
+                    let rows = rows.iter().filter(move |row| row.voter == voter);
+                    rows.map(|row| row.name.as_str()).collect()
+                };
+                report(
+                    event,
+                    format_args!(
+                        "term {term}, voters {:?}, learners {:?}",
+                        names(true),
+                        names(false)
+                    ),
+                );
+            }
             None => report(event, format_args!("term {term}")),
         }
     }
--- a/src/agree/transport.rs
+++ b/src/agree/transport.rs
@@ -12,7 +12,7 @@
     },
     jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
-    std::{fmt::Write, io, net::SocketAddr, thread::JoinHandle, time::Duration},
+    std::{io, net::SocketAddr, thread::JoinHandle, time::Duration},
     tokio::sync::{mpsc, oneshot},
 };
 
@@ -156,17 +156,30 @@
 }
 
 fn encode(envelope: &Envelope) -> Option<String> {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
     let bytes = postcard::to_stdvec(envelope).ok()?;
+    let digit = |value: u8| char::from(DIGITS[usize::from(value)]);
+    let pairs = bytes
+        .iter()
+        .flat_map(|byte| [digit(byte >> 4), digit(byte & 15)]);
     let mut text = String::with_capacity(2 * bytes.len());
-    for byte in bytes {
-        write!(text, "{byte:02x}").ok()?;
-    }
+    text.extend(pairs);
     Some(text)
 }
 
+fn value(digit: u8) -> Option<u8> {
+    match digit {
+        b'0'..=b'9' => Some(digit - b'0'),
+        b'a'..=b'f' => Some(digit - b'a' + 10),
+        _ => None,
+    }
+}
+
 fn decode(text: &str) -> Option<Envelope> {
-    let digits = text.as_bytes();
-    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
-    let bytes: Option<Vec<u8>> = digits.chunks(2).map(byte).collect();
+    let byte = |pair: &[u8]| match pair {
+        [high, low] => Some(value(*high)? << 4 | value(*low)?),
+        _ => None,
+    };
+    let bytes: Option<Vec<u8>> = text.as_bytes().chunks(2).map(byte).collect();
     postcard::from_bytes(&bytes?).ok()
 }
--- a/src/catalog/census.rs
+++ b/src/catalog/census.rs
@@ -130,9 +130,10 @@
             timeout,
             Instant::now(),
         );
-        if !expired.is_empty() && *source.is_current.borrow() {
+        // Members hear of all reports; only the leader accepts the order.
+        let is_leader = *source.leader.borrow() == Some(local);
+        if !expired.is_empty() && is_leader {
             report(Event::UPSTREAM_LAPSED, format_args!("{expired:?}"));
-            // Only the leader accepts the order; the next round repeats it if necessary.
             let order = Box::new(Order::Forget { silent: expired });
             let reply = Box::new(|_| {});
             let _ = source.ring.offer(Message::Order { order, reply });
--- a/src/catalog/mirror.rs
+++ b/src/catalog/mirror.rs
@@ -20,10 +20,11 @@
 
 /// Milliseconds for which a member may hold back a response.
 const HOLD_MS: u64 = 400;
-/// Response timeout beyond that: three round trips between distant regions.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
+/// Response timeout beyond that: three round trips between distant regions, and as long again for a busy
+/// member.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(700);
 /// Milliseconds for which a copy is current after a response: the next response and its loss.
-const VALID_MS: u64 = 1_200;
+const VALID_MS: u64 = 1_500;
 /// Time without a leader after which a member copies too: two elections.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Delay after a failed poll.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -12,6 +12,7 @@
 pub mod messages;
 pub mod mirror;
 pub(crate) mod pages;
+pub mod receiver;
 pub mod serve;
 pub mod settings;
 pub mod state;
--- a/src/catalog/serve.rs
+++ b/src/catalog/serve.rs
@@ -29,6 +29,11 @@
 /// a change to be in force (2.5 s), also over two hops.
 const COALESCE: Duration = Duration::from_millis(60);
 
+/// Changes within that time above which further ones are awaited for longer, as after the start of a fleet.
+const BUSY_CHANGES: u64 = 16;
+/// That further time.
+const BUSY_COALESCE: Duration = Duration::from_millis(190);
+
 /// Upstreams that reported to a control VM.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct ReportedUpstreams {
@@ -113,7 +118,7 @@
 
 /// Waits until the catalogue is newer than the follower's, and then for further changes, so that a release
 /// or the first reports of many upstreams take one response in place of many.
-async fn page(mut source: Source, request: PageRequest) -> Result<EncodedPage, ErrorObjectOwned> {
+async fn page(source: Source, request: PageRequest) -> Result<EncodedPage, ErrorObjectOwned> {
     let unavailable = || {
         let text = "this control VM receives no updates";
         Err(rpc::error(UNAVAILABLE, text, ()))
@@ -124,13 +129,17 @@
         source.is_current
     };
     let hold = Duration::from_millis(request.hold_ms);
+    let mut policies = source.policies.clone();
     let newer = async {
-        let newer = source
-            .policies
-            .wait_for(|policy| policy.catalog.revision > request.revision);
+        let newer = policies.wait_for(|policy| policy.catalog.revision > request.revision);
         let has_waited = newer.await.is_ok_and(|_| request.hold_ms > 0);
-        if has_waited && request.want != Want::Revision {
-            time::sleep(COALESCE).await;
+        if !has_waited || request.want == Want::Revision {
+            return;
+        }
+        time::sleep(COALESCE).await;
+        let revision = policies.borrow().catalog.revision;
+        if revision > request.revision + BUSY_CHANGES {
+            time::sleep(BUSY_COALESCE).await;
         }
     };
     tokio::select! {
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -5,9 +5,13 @@
         census::{FirstSeen, expired},
         decide::has_changes,
         last_reports::LastReports,
+        receiver::receiver,
+    },
+    crate::{agree::ControlVm, policy::Rejection},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
     },
-    crate::policy::Rejection,
-    std::time::{Duration, Instant},
 };
 
 pub(crate) fn route(host: &str, prefix: &str) -> Route {
@@ -270,6 +274,35 @@
     assert!(has_changes(&catalog, "v", &upstream("10.0.0.2:80", 5, 2)));
 }
 
+/// Guards against control VMs that gather the reports of most upstreams, and upstreams that all change their
+/// control VM when one is lost.
+#[test]
+fn upstreams_report_evenly_to_the_control_vms_of_their_zone() {
+    let vm = |at: usize| ControlVm {
+        peers: SocketAddr::from(([10, 0, 0, u8::try_from(at).unwrap()], 70)),
+        zone: format!("zone-{}", at / 3),
+        member: at.is_multiple_of(3),
+    };
+    let mut control: Vec<ControlVm> = (0..27).map(vm).collect();
+    let ids: Vec<String> = (0..300).map(|at| format!("u-{at}")).collect();
+    let chosen = |control: &[ControlVm]| -> Vec<SocketAddr> {
+        let row = |id: &String| receiver(control, id, "zone-4").unwrap();
+        ids.iter().map(row).collect()
+    };
+    let before = chosen(&control);
+    for at in 12..15 {
+        let count = before
+            .iter()
+            .filter(|row| **row == control[at].peers)
+            .count();
+        assert!((70..130).contains(&count), "{count}");
+    }
+    let lost = control.remove(12).peers;
+    for (before, after) in before.iter().zip(chosen(&control)) {
+        assert!(*before == lost || *before == after);
+    }
+}
+
 /// Random orders; the follower polls at random times.
 #[test]
 fn followers_converge_to_the_same_tables() {
--- a/src/handover/decide.rs
+++ b/src/handover/decide.rs
@@ -16,6 +16,15 @@
     Fail(Unavailable),
 }
 
+/// Whether a call that failed for this reason was provably not accepted, and another control VM may accept
+/// it.
+pub(super) const fn may_repeat(reason: &Unavailable) -> bool {
+    matches!(
+        reason,
+        Unavailable::NotLeader { .. } | Unavailable::NoQuorum
+    )
+}
+
 /// Decides about a call before its first try, or after `tries` of them failed with `last`. A call that
 /// may have been accepted is never sent again: its caller repeats it if necessary.
 pub(super) fn next(
@@ -24,12 +33,10 @@
     leader: Option<SocketAddr>,
     local: SocketAddr,
 ) -> Next {
-    let is_safe = matches!(
-        last,
-        None | Some(Unavailable::NotLeader { .. } | Unavailable::NoQuorum)
-    );
     match (last, leader) {
-        (Some(reason), _) if !is_safe || tries >= MAX_TRIES => Next::Fail(reason.clone()),
+        (Some(reason), _) if !may_repeat(reason) || tries >= MAX_TRIES => {
+            Next::Fail(reason.clone())
+        }
         (_, Some(leader)) if leader == local => Next::Local,
         (_, Some(leader)) => Next::Remote(leader),
         (Some(reason), None) => Next::Fail(reason.clone()),
--- a/src/handover/serve.rs
+++ b/src/handover/serve.rs
@@ -12,15 +12,15 @@
     tokio::sync::oneshot,
 };
 
-/// Method that submits an order to the leader's log.
-pub(super) const ORDER_METHOD: &str = "handover.order";
+/// Method that submits orders to the leader's log.
+pub(super) const ORDERS_METHOD: &str = "handover.orders";
 /// Method that returns the revision of the newest catalogue, confirmed by a quorum.
 pub(super) const READ_METHOD: &str = "handover.read";
 
-/// An order that was handed over.
+/// Orders that were handed over together.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct HandedOrder {
-    pub(super) order: Order,
+pub(super) struct HandedOrders {
+    pub(super) orders: Vec<Order>,
 }
 
 /// A read that was handed over.
@@ -36,11 +36,12 @@
     ring: Sender<Message>,
 ) -> Result<(), RegisterMethodError> {
     let orders = ring.clone();
-    module.register_async_method(ORDER_METHOD, move |params, _, _| {
+    module.register_async_method(ORDERS_METHOD, move |params, _, _| {
         let ring = orders.clone();
         async move {
-            let handed: HandedOrder = rpc::params(&params)?;
-            Ok::<SubmitResult, ErrorObjectOwned>(submit(&ring, Box::new(handed.order)).await)
+            let handed: HandedOrders = rpc::params(&params)?;
+            let results = submit(&ring, handed.orders).await;
+            Ok::<Result<Vec<SubmitResult>, Unavailable>, ErrorObjectOwned>(Ok(results))
         }
     })?;
     module.register_async_method(READ_METHOD, move |params, _, _| {
@@ -53,14 +54,25 @@
     Ok(())
 }
 
-/// Submits an order to the log of this replica.
-pub(super) async fn submit(ring: &Sender<Message>, order: Box<Order>) -> SubmitResult {
-    let (tx, rx) = oneshot::channel();
-    let reply = Box::new(move |result| drop(tx.send(result)));
-    if ring.offer(Message::Order { order, reply }).is_err() {
-        return Err(Unavailable::Busy);
+/// Submits orders to the log of this replica; one result for each, in their order. All are offered before the
+/// first result is awaited, so that they share a write.
+pub(super) async fn submit(ring: &Sender<Message>, orders: Vec<Order>) -> Vec<SubmitResult> {
+    let offer = |order| {
+        let (tx, rx) = oneshot::channel();
+        let reply = Box::new(move |result| drop(tx.send(result)));
+        let order = Box::new(order);
+        let offered = ring.offer(Message::Order { order, reply });
+        offered.is_ok().then_some(rx)
+    };
+    let offered: Vec<_> = orders.into_iter().map(offer).collect();
+    let mut results = Vec::new();
+    for offered in offered {
+        results.push(match offered {
+            Some(rx) => rx.await.unwrap_or(Err(Unavailable::Unknown)),
+            None => Err(Unavailable::Busy),
+        });
     }
-    rx.await.unwrap_or(Err(Unavailable::Unknown))
+    results
 }
 
 /// Revision of the newest catalogue, if this replica leads.
--- a/src/handover/thread.rs
+++ b/src/handover/thread.rs
@@ -4,7 +4,7 @@
     super::{
         decide::{self, Next},
         messages::{Message, ReadResult},
-        serve::{self, HandedOrder, HandedRead, ORDER_METHOD, READ_METHOD},
+        serve::{self, HandedOrders, HandedRead, ORDERS_METHOD, READ_METHOD},
     },
     crate::{
         agree::{SubmitResult, Unavailable},
@@ -29,6 +29,9 @@
 const MAX_CALLS: usize = 16;
 /// Time for which a call waits while there is no leader: less than callers wait.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which orders wait for others to be handed over with them, and how many are handed over at once.
+const BATCH_INTERVAL: Duration = Duration::from_millis(4);
+const MAX_BATCH: usize = 64;
 /// Time within which the copy of this control VM reaches the revision of a read.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -66,17 +69,40 @@
         clients: Rc::default(),
         calls: Rc::new(Semaphore::new(MAX_CALLS)),
     };
-    while let Some(message) = receiver.recv().await {
-        let duty = duty.clone();
-        tokio::task::spawn_local(async move {
+    while let Some(first) = receiver.recv().await {
+        time::sleep(BATCH_INTERVAL).await;
+        let mut orders = Vec::new();
+        let mut next = Some(first);
+        while let Some(message) = next {
             match message {
-                Message::Order { order, reply } => reply(duty.order(order).await),
-                Message::Read { reply } => reply(duty.read().await),
+                // A configuration may fill a call by itself.
+                Message::Order { order, reply } if matches!(*order, Order::Configure { .. }) => {
+                    let duty = duty.clone();
+                    let single = vec![(*order, reply)];
+                    tokio::task::spawn_local(async move { duty.orders(single).await });
+                }
+                Message::Order { order, reply } => orders.push((*order, reply)),
+                Message::Read { reply } => {
+                    let duty = duty.clone();
+                    tokio::task::spawn_local(async move { reply(duty.read().await) });
+                }
             }
-        });
+            next = if orders.len() < MAX_BATCH {
+                receiver.poll()
+            } else {
+                None
+            };
+        }
+        if !orders.is_empty() {
+            let duty = duty.clone();
+            tokio::task::spawn_local(async move { duty.orders(orders).await });
+        }
     }
 }
 
+/// An order and the callback for its result.
+type PendingOrder = (Order, Box<dyn FnOnce(SubmitResult) + Send>);
+
 impl Duty {
     fn next(&self, tries: usize, last: Option<&Unavailable>) -> Next {
         let leader = *self.deps.source.leader.borrow();
@@ -91,26 +117,41 @@
         let _ = time::timeout(ELECTION_TIMEOUT, elected).await;
     }
 
-    async fn order(&self, order: Box<Order>) -> SubmitResult {
+    /// Submits orders, and those again that were provably not accepted because the leader changed.
+    async fn orders(&self, mut pending: Vec<PendingOrder>) {
         self.wait_for_leader().await;
         let mut last = None;
         for tries in 0.. {
-            let result = match self.next(tries, last.as_ref()) {
-                Next::Local => serve::submit(&self.deps.source.ring, order.clone()).await,
+            let orders: Vec<Order> = pending.iter().map(|(order, _)| order.clone()).collect();
+            let results = match self.next(tries, last.as_ref()) {
+                Next::Local => serve::submit(&self.deps.source.ring, orders).await,
                 Next::Remote(leader) => {
-                    let handed = HandedOrder {
-                        order: (*order).clone(),
-                    };
-                    self.call(leader, ORDER_METHOD, &handed).await
+                    let count = orders.len();
+                    let handed = HandedOrders { orders };
+                    let called = self.call(leader, ORDERS_METHOD, &handed).await;
+                    called.unwrap_or_else(|reason| vec![Err(reason); count])
                 }
-                Next::Fail(reason) => return Err(reason),
+                Next::Fail(reason) => vec![Err(reason); orders.len()],
             };
-            match result {
-                Err(reason) => last = Some(reason),
-                result => return result,
+            let may_repeat = tries + 1 < decide::MAX_TRIES;
+            let mut rejected = Vec::new();
+            let mut results = results.into_iter();
+            for (order, reply) in pending {
+                // A response with too few results says nothing about the rest.
+                let result = results.next().unwrap_or(Err(Unavailable::Unknown));
+                match &result {
+                    Err(reason) if may_repeat && decide::may_repeat(reason) => {
+                        last = Some(reason.clone());
+                        rejected.push((order, reply));
+                    }
+                    _ => reply(result),
+                }
+            }
+            if rejected.is_empty() {
+                return;
             }
+            pending = rejected;
         }
-        Err(Unavailable::NoQuorum)
     }
 
     async fn read(&self) -> ReadResult {
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -239,6 +239,18 @@
     pub async fn recv(&mut self) -> Option<T> {
         self.inner.recv().await
     }
+
+    /// A message that is in the ring already, if there is one.
+    ///
+    /// ```
+    /// let (tx, mut rx) = siskinstep::ring::bounded_async(1);
+    /// assert_eq!(rx.poll(), None);
+    /// tx.offer(7).unwrap();
+    /// assert_eq!(rx.poll(), Some(7));
+    /// ```
+    pub fn poll(&mut self) -> Option<T> {
+        self.inner.try_recv().ok()
+    }
 }
 
 /// Creates a ring of at most `capacity` messages for a duty on a single-threaded async runtime.
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -26,6 +26,9 @@
 /// Bounds of the delay after which callers are asked to retry, before its random extension.
 const MIN_RETRY_MS: f64 = 100.0;
 const MAX_RETRY_MS: f64 = 1_000.0;
+/// Milliseconds after which a VM without a configuration usually has one: an election of the control VMs, if
+/// all of them have just restarted, and one response.
+const JOIN_MS: f64 = 600.0;
 /// Milliseconds between scans of the waiting requests.
 pub(super) const QUEUE_SCAN_MS: u64 = 20;
 
@@ -50,7 +53,10 @@
     now: Micros,
 ) -> Result<(InFlightKey, Arc<str>), Refusal> {
     if state.version == 0 {
-        return Err(Refusal::not_run(Reason::NotJoined));
+        return Err(Refusal {
+            retry_ms: jittered_ms(JOIN_MS, head.random),
+            ..Refusal::not_run(Reason::NotJoined)
+        });
     }
     let found = state.index.find(head.host, head.path);
     let Some((name, route)) = found else {
@@ -259,6 +265,11 @@
     let base_ms = wait_ms
         .max(pool.cached_us / MILLI)
         .clamp(MIN_RETRY_MS, MAX_RETRY_MS);
+    jittered_ms(base_ms, random)
+}
+
+/// A delay extended at random by up to as much again.
+fn jittered_ms(base_ms: f64, random: u64) -> u32 {
     let jitter = f64::from(u16::try_from(random % 1_000).unwrap_or(0)) / 1_000.0;
     #[allow(
         clippy::cast_possible_truncation,
