Let followers move from the seeds to near control VMs, and learners vote while commands flow

Cause: at its start an entry VM knows the seeds alone, and it stayed with the first one that responded: 273 entry VMs and 24 control VMs polled three seeds, of which one led. Commits took 0.4 to 1.7 s. A learner had to have every committed entry at the moment of a check, so none was promoted while reports kept arriving (8 s). VMs whose place was not known yet became voters, as the message with it went to VMs that had not started: three voters in each of two zones.

Change: a poller returns to its first choice when the list of control VMs changes; a learner may lack 64 entries; a candidate waits until its place is known, and says it every third heartbeat.

--- a/src/agree/member.rs
+++ b/src/agree/member.rs
@@ -113,7 +113,8 @@
         .iter()
         .filter_map(|row| state.places.get(row.name.as_str()))
         .collect();
-    let best = placement::best_candidate(&known_places, &places)?;
+    let knows_places = !state.settings.zone.is_empty();
+    let best = placement::best_candidate(&known_places, &places, knows_places)?;
     let mut next = members.clone();
     if next.rows.len() >= MAX_VOTERS {
         let silent = next.rows.iter().position(|row| is_silent(state, row, now));
@@ -139,13 +140,17 @@
     Some(next)
 }
 
-/// Whether a learner is alive and has all committed entries.
+/// Committed entries that a learner may lack: while commands are accepted all the time, it always lacks those
+/// of the last round trip.
+const MAX_LAG: u64 = 64;
+
+/// Whether a learner is alive and has almost all committed entries.
 fn is_caught_up(state: &State, disk: DiskId, now: Micros) -> bool {
     let Role::Leader(leader_state) = &state.role else {
         return false;
     };
     let progress = leader_state.progress.get(&disk);
-    progress.is_some_and(|row| row.matched >= state.commit) && is_alive(state, disk, now)
+    progress.is_some_and(|row| row.matched + MAX_LAG >= state.commit) && is_alive(state, disk, now)
 }
 
 /// The members with one learner promoted to voter that has caught up, if there is room for a voter.
--- a/src/agree/placement.rs
+++ b/src/agree/placement.rs
@@ -13,8 +13,8 @@
     std::{net::SocketAddr, sync::Arc},
 };
 
-/// Heartbeat intervals between two messages with the place of this VM, which does not change.
-const LOCATED_HEARTBEATS: u64 = 8;
+/// Heartbeat intervals between two messages with the place of this VM, which does not change but may be lost.
+const LOCATED_HEARTBEATS: u64 = 3;
 
 /// Region and availability zone of a control VM, by name.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,15 +41,20 @@
     (squares(|place| &place.region), squares(|place| &place.zone))
 }
 
-/// Index of the candidate whose addition leaves the lowest imbalance; the first of equals. A candidate
-/// without a place is taken only if none has one.
-pub(super) fn best_candidate(voters: &[&Place], candidates: &[Option<&Place>]) -> Option<usize> {
+/// Index of the candidate whose addition leaves the lowest imbalance; the first of equals. If
+/// `knows_places`, a candidate whose place is not known yet waits; otherwise no VM has one.
+pub(super) fn best_candidate(
+    voters: &[&Place],
+    candidates: &[Option<&Place>],
+    knows_places: bool,
+) -> Option<usize> {
     let cost = |at: &usize| {
         let candidate = candidates[*at];
         let all: Vec<&Place> = voters.iter().copied().chain(candidate).collect();
-        (candidate.is_none(), imbalance(&all))
+        imbalance(&all)
     };
-    (0..candidates.len()).min_by_key(cost)
+    let ready = (0..candidates.len()).filter(|at| candidates[*at].is_some() || !knows_places);
+    ready.min_by_key(cost)
 }
 
 /// Index of the voter whose replacement by `candidate` lowers the imbalance most; `None` if none does.
--- a/src/agree/tests/scripted.rs
+++ b/src/agree/tests/scripted.rs
@@ -303,6 +303,22 @@
     }
 }
 
+/// Guards against learners that are never promoted while commands are accepted without a pause, as during the
+/// first reports of a large fleet.
+#[test]
+fn learners_become_voters_while_commands_are_accepted_without_a_pause() {
+    let mut world = World::with_auto_join(1, FOUNDERS, 6);
+    world.faults.max_delay_ms = 40;
+    world.run(1_500);
+    for _ in 0..300 {
+        if let Some(leader) = world.leader() {
+            world.submit_new(leader);
+        }
+        world.run(10);
+    }
+    assert_eq!(voters(&world).len(), 6);
+}
+
 /// Guards against a cluster that takes seconds to elect a leader after all its VMs lost power together, as
 /// each of them waits for a leader of before.
 #[test]
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -126,6 +126,7 @@
                 continue;
             };
             let mut polls = 0;
+            let standing = self.standing_hash.get();
             let error = loop {
                 let result = match poller {
                     Poller::Near => self.poll(&client, self.settings.hold_ms).await,
@@ -136,7 +137,10 @@
                     break Some(error);
                 }
                 polls += 1;
-                if turn > 0 && polls >= DISTANT_POLLS {
+                // At first only the seeds are known; they must not keep all followers.
+                let has_moved = self.standing_hash.get() != standing
+                    && self.address(poller, 0, random) != Some(address);
+                if has_moved || (turn > 0 && polls >= DISTANT_POLLS) {
                     break None;
                 }
             };
@@ -149,12 +153,16 @@
         }
     }
 
-    /// Client of the control VM to poll.
-    fn connect(&self, poller: Poller, turn: usize, random: u64) -> Option<(SocketAddr, Client)> {
+    /// Control VM to poll at that turn.
+    fn address(&self, poller: Poller, turn: usize, random: u64) -> Option<SocketAddr> {
         let is_near = poller == Poller::Near;
         let control = &self.standing.borrow().control;
         let all = pages::order(control, &self.seeds.borrow(), (&self.zone, is_near), random);
-        let address = *all.get(turn.checked_rem(all.len())?)?;
+        all.get(turn.checked_rem(all.len())?).copied()
+    }
+
+    fn connect(&self, poller: Poller, turn: usize, random: u64) -> Option<(SocketAddr, Client)> {
+        let address = self.address(poller, turn, random)?;
         let hold = Duration::from_millis(self.settings.hold_ms);
         let client = Client::new(address, &self.secret, hold + RESPONSE_MARGIN).ok()?;
         Some((address, client))
--- a/src/catalog/mirror.rs
+++ b/src/catalog/mirror.rs
@@ -89,13 +89,15 @@
                 time::sleep(RETRY_DELAY).await;
                 continue;
             };
-            while !*self.source.is_led.borrow() && self.poll(&client).await {
+            let mut has_moved = false;
+            while !has_moved && !*self.source.is_led.borrow() && self.poll(&client).await {
+                has_moved = turn == 0 && self.address(0, random) != Some(address);
                 if !self.is_reached {
                     self.is_reached = true;
                     report(Event::CONTROL_REACHED, format_args!("{address}, a member"));
                 }
             }
-            if *self.source.is_led.borrow() {
+            if has_moved || *self.source.is_led.borrow() {
                 continue;
             }
             if self.is_reached {
@@ -128,8 +130,8 @@
         }
     }
 
-    /// Client of the member to poll: one of the local zone, otherwise any.
-    fn connect(&self, turn: usize, random: u64) -> Option<(SocketAddr, Client)> {
+    /// Member to poll at that turn: one of the local zone, otherwise any.
+    fn address(&self, turn: usize, random: u64) -> Option<SocketAddr> {
         let control = self.standing.control.iter();
         let members: Vec<_> = control.filter(|row| row.member).cloned().collect();
         let mut all = pages::order(
@@ -139,7 +141,11 @@
             random,
         );
         all.retain(|address| *address != self.setup.local);
-        let address = *all.get(turn.checked_rem(all.len())?)?;
+        all.get(turn.checked_rem(all.len())?).copied()
+    }
+
+    fn connect(&self, turn: usize, random: u64) -> Option<(SocketAddr, Client)> {
+        let address = self.address(turn, random)?;
         let timeout = Duration::from_millis(HOLD_MS) + RESPONSE_MARGIN;
         let client = Client::new(address, &self.secret, timeout).ok()?;
         Some((address, client))
