Serve the connections that wait in the backlog when a listener stops

Cause: at a planned stop the listener's socket was closed with the connections that the kernel had established and the listener had not accepted; the kernel reset them, although their requests had arrived.

Change: after the stop, the listener accepts what waits, asking the kernel, and then closes the socket.

Test: a listener whose thread is blocked while eight requests arrive and the stop is ordered; failed with 'connection reset by peer' without the change.

--- a/src/edge/listener.rs
+++ b/src/edge/listener.rs
@@ -145,9 +145,11 @@
         open: Cell::new(0),
     });
     local.block_on(&runtime, async {
+        let backlog = socket.try_clone()?;
         let socket = TcpListener::from_std(socket)?;
-        accept_until_stopped(&shared, &socket, stopped).await;
-        drop(socket);
+        accept_until_stopped(&shared, &socket, stopped.clone()).await;
+        accept_backlog(&shared, &backlog, &stopped);
+        drop((socket, backlog));
         drain_connections(&shared).await;
         Ok(())
     })
@@ -177,6 +179,24 @@
     }
 }
 
+/// Accepts the connections that the kernel has established and that were not accepted yet. Closing the socket
+/// would reset them, though their requests may have arrived. Asks the kernel, as the runtime learns of
+/// connections only when it polls the socket.
+fn accept_backlog(
+    shared: &Rc<Shared>,
+    socket: &std::net::TcpListener,
+    stopped: &watch::Receiver<bool>,
+) {
+    while let Ok((stream, _)) = socket.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            accept_connection(shared, stream, stopped.clone());
+        }
+    }
+}
+
 fn accept_connection(shared: &Rc<Shared>, stream: TcpStream, stopped: watch::Receiver<bool>) {
     let limit = shared.listener.limits.connections;
     if shared.open.get() >= limit {
