Call a control VM current only once it knows all that was committed before it

Cause: a new leader called its configuration current at once, though entries that its predecessor had committed were not applied until one of its own term was; a control VM that had just started called what it recovered current until its first step. An entry VM that restarted at that moment followed the older state, in which a server that had left was still there.

Change: a replica is current once the last committed entry is of the current term; a control VM starts as not current.

--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -190,8 +190,12 @@
 }
 
 /// Whether the local configuration is current: this replica leads, or within the last two election
-/// time-outs contained everything that the leader reported as committed.
+/// time-outs contained everything that the leader reported as committed. Until an entry of its own term is
+/// committed, a leader does not know all that its predecessors committed, and neither do its followers.
 pub(super) fn is_current(state: &State, now: Micros) -> bool {
+    if state.log.term_at(state.commit) != Some(state.hard.term) {
+        return false;
+    }
     let until = state
         .caught_up_at
         .plus_millis(2 * state.settings.election_ms);
--- a/src/agree/tests/world.rs
+++ b/src/agree/tests/world.rs
@@ -576,7 +576,24 @@
     }
 
     /// Checks that every replica commits the same entries.
+    /// Checks that the leader does not call its configuration current while it lacks a command that was
+    /// answered: an entry VM that restarts would follow it.
+    fn check_current(&self, node: usize) {
+        let row = &self.nodes[node];
+        let Some(state) = row.state.as_ref().filter(|_| self.leader() == Some(node)) else {
+            return;
+        };
+        if decide::is_current(state, Micros(self.now + row.clock_offset)) {
+            let (version, newest) = (state.machine.version, self.oracle.newest_version);
+            assert!(
+                version >= newest,
+                "leader at {version} of {newest} is current"
+            );
+        }
+    }
+
     fn check(&mut self, node: usize) {
+        self.check_current(node);
         let row = &mut self.nodes[node];
         let Some(state) = &row.state else { return };
         for index in row.checked_index + 1..=state.commit {
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -80,11 +80,12 @@
         let context = settings.vm.context();
         let (agree, agree_ring) = ring::bounded(settings.vm.ring);
         let (policies, policies_rx) = watch::channel(Arc::default());
-        let (is_current_tx, is_current_rx) = watch::channel(true);
+        // What was recovered from the disk may be old.
+        let (is_current_tx, is_current_rx) = watch::channel(false);
         let (members_tx, members) = watch::channel(Arc::default());
         let (control_tx, control) = watch::channel(Arc::default());
         let (leader_tx, leader) = watch::channel(None);
-        let (is_led_tx, is_led) = watch::channel(true);
+        let (is_led_tx, is_led) = watch::channel(false);
         let replica = Replica {
             members: members_tx,
             ring: agree_ring,
