--- a/src/agree/member.rs
+++ b/src/agree/member.rs
@@ -108,13 +108,13 @@
         .iter()
         .map(|row| state.places.get(row.0.as_str()))
         .collect();
-    let known_places: Vec<&Place> = members
+    let member_places: Vec<&Place> = members
         .rows
         .iter()
         .filter_map(|row| state.places.get(row.name.as_str()))
         .collect();
-    let knows_places = !state.settings.zone.is_empty();
-    let best = placement::best_candidate(&known_places, &places, knows_places)?;
+    let has_zones = !state.settings.zone.is_empty();
+    let best = placement::best_candidate(&member_places, &places, has_zones)?;
     let mut next = members.clone();
     if next.rows.len() >= MAX_VOTERS {
         let silent = next.rows.iter().position(|row| is_silent(state, row, now));
--- a/src/catalog/serve.rs
+++ b/src/catalog/serve.rs
@@ -20,7 +20,8 @@
     tokio::{sync::watch, time},
 };
 
-/// Method by which a follower long-polls for changes of the catalogue.
+/// Method by which a follower of an earlier version long-polls for changes of the catalogue; others ask for
+/// pages.
 pub(super) const FOLLOW_METHOD: &str = "catalog.follow";
 /// Method by which control VMs forward to each other which upstreams reported to them.
 pub(super) const HEARD_METHOD: &str = "catalog.heard";
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -290,11 +290,8 @@
         ids.iter().map(row).collect()
     };
     let before = chosen(&control);
-    for at in 12..15 {
-        let count = before
-            .iter()
-            .filter(|row| **row == control[at].peers)
-            .count();
+    for vm in &control[12..15] {
+        let count = before.iter().filter(|row| **row == vm.peers).count();
         assert!((70..130).contains(&count), "{count}");
     }
     let lost = control.remove(12).peers;
--- a/src/edge/listener.rs
+++ b/src/edge/listener.rs
@@ -106,7 +106,7 @@
     let thread = std::thread::Builder::new()
         .name(name.to_owned())
         .spawn(move || {
-            if let Err(error) = serve(listener, socket, context, stopped, make_handler) {
+            if let Err(error) = serve(listener, socket, context, &stopped, make_handler) {
                 report(Event::FATAL, format_args!("{name} listener: {error}"));
             }
         });
@@ -131,7 +131,7 @@
     listener: Listener,
     socket: std::net::TcpListener,
     context: Context,
-    stopped: watch::Receiver<bool>,
+    stopped: &watch::Receiver<bool>,
     make_handler: impl FnOnce() -> Handler,
 ) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -147,8 +147,8 @@
     local.block_on(&runtime, async {
         let backlog = socket.try_clone()?;
         let socket = TcpListener::from_std(socket)?;
-        accept_until_stopped(&shared, &socket, stopped.clone()).await;
-        accept_backlog(&shared, &backlog, &stopped);
+        accept_until_stopped(&shared, &socket, stopped).await;
+        accept_backlog(&shared, &backlog, stopped);
         drop((socket, backlog));
         drain_connections(&shared).await;
         Ok(())
@@ -158,9 +158,9 @@
 async fn accept_until_stopped(
     shared: &Rc<Shared>,
     socket: &TcpListener,
-    mut stopped: watch::Receiver<bool>,
+    signal: &watch::Receiver<bool>,
 ) {
-    let signal = stopped.clone();
+    let mut stopped = signal.clone();
     loop {
         let accepted = tokio::select! {
             accepted = socket.accept() => accepted,
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -477,6 +477,18 @@
     world.state.version = 0;
     let refusal = decide::admit(&mut world.state, &head, NOW).unwrap_err();
     assert_eq!(refusal.reason, Reason::NotJoined);
+    // Load: all callers of a fleet that has just restarted; they come back spread over the time in which a
+    // configuration arrives.
+    let delays: Vec<u32> = (0..1_000)
+        .map(|random| {
+            let head = RequestHead { random, ..head };
+            let refusal = decide::admit(&mut world.state, &head, NOW).unwrap_err();
+            refusal.retry_ms
+        })
+        .collect();
+    assert!(delays.iter().all(|ms| (600..1_200).contains(ms)));
+    let early = delays.iter().filter(|ms| **ms < 900).count();
+    assert!((400..600).contains(&early), "{early}");
 }
 
 #[test]
