Let a learner vote only with the log of a heartbeat ago, and report members as committed

Cause: a learner was allowed to lack 64 entries, so a new disk with an empty log was promoted at once, and the promotion was reported before it was committed. The process test took the next VM, which led, down at that moment: of the two that were left, one knew itself as the only voter beside the lost one, the other held nothing. Traced from the processes that were there (stacks of a stalled run) and the events: 2 of 18 runs of the test stood still for 60 s.

Ruled out: a deadlock of threads (all of them waited for messages).

Change: caught up means all that was committed at the last heartbeat; the status names voters of the committed members.

--- a/src/agree/elect.rs
+++ b/src/agree/elect.rs
@@ -247,6 +247,7 @@
     let leader_state = LeaderState {
         first_index: first.index,
         next_heartbeat: step.now,
+        settled_commit: u64::MAX,
         ..step.state.leader_state().cloned().unwrap_or_default()
     };
     step.state.role = Role::Leader(Box::new(leader_state));
--- a/src/agree/member.rs
+++ b/src/agree/member.rs
@@ -140,17 +140,15 @@
     Some(next)
 }
 
-/// Committed entries that a learner may lack: while commands are accepted all the time, it always lacks those
-/// of the last round trip.
-const MAX_LAG: u64 = 64;
-
-/// Whether a learner is alive and has almost all committed entries.
+/// Whether a learner is alive and has all entries that were committed a heartbeat ago: while commands are
+/// accepted without a pause, it always lacks those of the last round trip.
 fn is_caught_up(state: &State, disk: DiskId, now: Micros) -> bool {
     let Role::Leader(leader_state) = &state.role else {
         return false;
     };
     let progress = leader_state.progress.get(&disk);
-    progress.is_some_and(|row| row.matched + MAX_LAG >= state.commit) && is_alive(state, disk, now)
+    progress.is_some_and(|row| row.matched >= leader_state.settled_commit)
+        && is_alive(state, disk, now)
 }
 
 /// The members with one learner promoted to voter that has caught up, if there is room for a voter.
@@ -256,6 +254,9 @@
 pub(super) fn status(state: &State, now: Micros) -> Vec<MemberStatus> {
     let last = state.log.last().index;
     let local_disk = state.hard.disk;
+    // A change that is not committed may be undone by the loss of this leader.
+    let mut changes = state.members.iter().rev();
+    let committed = changes.find(|(from, _)| *from <= state.commit);
     let row = |member: &Member| {
         let matched = match &state.role {
             Role::Leader(leader_state) => leader_state
@@ -270,7 +271,7 @@
             name: member.name.clone(),
             peers: member.peers,
             operators: member.operators,
-            voter: member.voter,
+            voter: member.voter && committed.is_some_and(|(_, rows)| rows.is_voter(member.disk)),
             leads: member.disk == state.leader && member.disk != DiskId(0),
             alive: is_self || is_alive(state, member.disk, now),
             behind: last.saturating_sub(matched),
--- a/src/agree/replicate.rs
+++ b/src/agree/replicate.rs
@@ -76,7 +76,7 @@
 /// Sends each member the entries that it lacks. With `heartbeat`, or when a heartbeat is due, a
 /// member that needs no entries receives an empty append.
 pub(super) fn send_all(step: &mut Step<'_>, heartbeat: bool) {
-    let now = step.now;
+    let (now, commit) = (step.now, step.state.commit);
     let next = step.after(step.state.settings.heartbeat_ms);
     let Some(leader_state) = step.state.leader_state() else {
         return;
@@ -84,6 +84,7 @@
     let heartbeat = heartbeat || now >= leader_state.next_heartbeat;
     if heartbeat {
         leader_state.next_heartbeat = next;
+        leader_state.settled_commit = commit;
     }
     let local_disk = step.state.hard.disk;
     let rows = step.state.members().rows.clone();
--- a/src/agree/state.rs
+++ b/src/agree/state.rs
@@ -66,6 +66,8 @@
     /// Index of the first entry of this term.
     pub(super) first_index: u64,
     pub(super) next_heartbeat: Micros,
+    /// Highest committed index at the last heartbeat.
+    pub(super) settled_commit: u64,
     /// Index of the change of members in progress, with the operator call that waits for it.
     pub(super) change: Option<(u64, Option<OperatorCallKey>)>,
 }
--- a/src/agree/tests/scripted.rs
+++ b/src/agree/tests/scripted.rs
@@ -4,11 +4,12 @@
     super::{
         super::{
             decide::{Input, is_current},
+            member,
             messages::MemberChange,
         },
         world::{World, address},
     },
-    crate::storage::Ack,
+    crate::{clock::Micros, storage::Ack},
 };
 
 const FOUNDERS: usize = 3;
@@ -303,6 +304,41 @@
     }
 }
 
+/// Guards against a new disk that is promoted before it holds anything, and against a change of members that is
+/// reported before it is committed: whoever relies on the report takes the next VM down, and no quorum is left.
+#[test]
+fn a_new_disk_is_reported_as_a_voter_only_once_it_holds_the_log() {
+    for seed in 0..20 {
+        let mut world = bootstrapped(seed);
+        accept_commands(&mut world, 5);
+        let lost = (world.leader().unwrap() + 1) % FOUNDERS;
+        world.crash(lost);
+        world.lose_disk(lost);
+        world.start(lost, FOUNDERS);
+        for _ in 0..6_000 {
+            world.run(1);
+            let Some(leader) = world.leader() else {
+                continue;
+            };
+            let disk = world.nodes[lost].disk.hard.disk;
+            let state = world.nodes[leader].state.as_ref().unwrap();
+            let rows = member::status(state, Micros(0));
+            let is_voter = rows
+                .iter()
+                .any(|row| row.name == format!("control-{lost}") && row.voter);
+            if is_voter && state.members().is_voter(disk) {
+                let change = state.members.last().map_or(0, |row| row.0);
+                assert!(state.commit >= change, "seed {seed}");
+                let disk = &world.nodes[lost].disk;
+                let base = disk.snapshot.as_ref().map_or(0, |row| row.at.index);
+                let held = disk.entries.last().map_or(base, |row| row.at.index);
+                assert!(held >= 5, "seed {seed}: {held}");
+                break;
+            }
+        }
+    }
+}
+
 /// Guards against learners that are never promoted while commands are accepted without a pause, as during the
 /// first reports of a large fleet.
 #[test]
