--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -1,5 +1,7 @@
 //! Runs one case against the project's own programs: `stand-in CASE RECORD`.
 
+#[path = "2/evacuation.rs"]
+mod evacuation;
 mod harness;
 #[path = "1/late_copy.rs"]
 mod late_copy;
@@ -31,6 +33,7 @@
     });
     record.line(&format!("case {case}, with the disruption: {trouble}"));
     let result = std::panic::catch_unwind(|| match case.as_str() {
+        "evacuation" => evacuation::run(&record, trouble),
         "late-copy" => late_copy::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
