--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -1,5 +1,7 @@
 //! Runs one case against the project's own programs: `stand-in CASE RECORD`.
 
+#[path = "4/cold.rs"]
+mod cold;
 #[path = "2/evacuation.rs"]
 mod evacuation;
 mod harness;
@@ -35,6 +37,7 @@
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "evacuation" => evacuation::run(&record, trouble),
         "late-copy" => late_copy::run(&record, trouble),
+        "cold" => cold::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
     let result = result.unwrap_or_else(|_| Err(std::io::Error::other("a stand-in panicked")));
