--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -7,6 +7,8 @@
 mod harness;
 #[path = "1/late_copy.rs"]
 mod late_copy;
+#[path = "5/poison.rs"]
+mod poison;
 
 use harness::{COULD_NOT_RUN, Record};
 
@@ -38,6 +40,7 @@
         "evacuation" => evacuation::run(&record, trouble),
         "late-copy" => late_copy::run(&record, trouble),
         "cold" => cold::run(&record, trouble),
+        "poison" => poison::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
     let result = result.unwrap_or_else(|_| Err(std::io::Error::other("a stand-in panicked")));
