Send no request again on a connection on which it was rejected

Cause: after a rejection despite free slots the same upstream is tried once more, on the connection that was just returned to the pool. Both attempts have the same name, so a late second copy of the first rejection was read as the rejection of the second attempt, which the upstream was running.

Change: a connection remembers the hashed names of requests rejected on it (503, 429, 421) and is not handed out for them; with 16 rejections it is closed. A request without a name gets a connection of its own. This makes the copy impossible to take for another attempt's answer: no two attempts of a request share a connection.

Ruled out: the check for unread bytes (it comes before the copy does); closing each connection on which a request was rejected (a new connection for each rejection in a shed storm).

--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -23,6 +23,7 @@
         time::Duration,
     },
     tokio::time,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Context, settings, wire format and connections that the attempts of the thread share.
@@ -51,7 +52,7 @@
 }
 
 /// Makes the attempt. A connection is reused only after a complete response, so that a late
-/// response cannot be delivered to another request. `connect_us` receives the microseconds spent on
+/// response cannot be delivered to another request, and never for a request that was rejected on it. `connect_us` receives the microseconds spent on
 /// opening a connection.
 pub(super) async fn run(
     resources: &Resources,
@@ -83,7 +84,8 @@
     sent: &Cell<bool>,
     connect_us: &Cell<Option<u64>>,
 ) -> Outcome {
-    let Some((mut connection, reused)) = obtain(resources, dispatch, connect_us).await else {
+    let name = (resources.wire_format.name)(&dispatch.payload).map(xxh3_64);
+    let Some((mut connection, reused)) = obtain(resources, dispatch, name, connect_us).await else {
         return not_run(Reason::ConnectFailed);
     };
     let remaining_ms =
@@ -120,7 +122,12 @@
         Ok(body) => body,
         Err(error) => return body_failure(&head, error),
     };
-    return_to_pool(resources, dispatch, &head, connection);
+    if let Some(name) = name {
+        if matches!(head.meaning, Meaning::NotRun | Meaning::Misdirected) {
+            connection.record_rejection(name);
+        }
+        return_to_pool(resources, dispatch, &head, connection);
+    }
     classify(&parts, head, body)
 }
 
@@ -173,15 +180,20 @@
 }
 
 /// Takes an idle connection to the target or opens a new one, and returns whether it was used before;
-/// `None` if it cannot be opened in time.
+/// `None` if it cannot be opened in time. A request without a name always gets a new one, as nothing tells
+/// its response from a late copy of another.
 async fn obtain(
     resources: &Resources,
     dispatch: &Dispatch,
+    name: Option<u64>,
     connect_us: &Cell<Option<u64>>,
 ) -> Option<(Connection, bool)> {
     let address = dispatch.target.address;
     let max_idle = Duration::from_millis(resources.settings.idle_ms);
-    let idle = resources.pool.borrow_mut().take(address, max_idle);
+    let idle = name.and_then(|name| {
+        let mut pool = resources.pool.borrow_mut();
+        pool.take_for(address, max_idle, name)
+    });
     if let Some(idle) = idle {
         return Some((idle, true));
     }
--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -107,9 +107,15 @@
 /// Decodes the head of the response to a request.
 pub type Decode = fn(&Parts, &Payload) -> Head;
 
+/// Name of a request, which the upstream returns in its response; `None` if it has none. All attempts of a
+/// request share it.
+pub type Name = fn(&Payload) -> Option<&[u8]>;
+
 /// Functions that encode requests to upstreams and decode the heads of responses.
 #[derive(Clone, Copy, Debug)]
 pub struct WireFormat {
+    /// Reads the name of a request.
+    pub name: Name,
     /// Encodes a request.
     pub encode: Encode,
     /// Decodes the head of a response.
--- a/src/courier/tests.rs
+++ b/src/courier/tests.rs
@@ -28,6 +28,11 @@
 const BUDGET_MS: u64 = 20_000;
 
 const WIRE_FORMAT: WireFormat = WireFormat {
+    name: |payload| {
+        let mut headers = payload.headers.iter();
+        let header = headers.find(|header| header.name == "id")?;
+        Some(&header.value)
+    },
     encode: |payload, target, remaining_ms| {
         let mut request = Request::builder().uri("/x");
         for header in &payload.headers {
@@ -118,14 +123,24 @@
     }
 
     fn send_for(&self, address: SocketAddr, remaining_ms: u64) -> Guard {
+        self.send_named(address, Some("7"), remaining_ms)
+    }
+
+    fn send_named(
+        &self,
+        address: SocketAddr,
+        name: Option<&'static str>,
+        remaining_ms: u64,
+    ) -> Guard {
         let (guard, cancel) = cancel::channel();
+        let header = |name: &'static str| Header {
+            name: "id".into(),
+            value: name.into(),
+        };
         let payload = Payload {
             method: "GET".into(),
             target: "/x".into(),
-            headers: vec![Header {
-                name: "id".into(),
-                value: "7".into(),
-            }],
+            headers: name.map(header).into_iter().collect(),
             body: "".into(),
         };
         let dispatch = Dispatch {
@@ -328,3 +343,82 @@
         closed.recv_timeout(Duration::from_mins(1)).unwrap();
     }
 }
+
+/// Starts an upstream that rejects the first request on each connection with `rejection`. When the next one
+/// arrives on the same connection, it sends a late second copy of the rejection before the response, and runs the
+/// request. Returns its address and one message for each request that it runs.
+fn upstream_with_late_rejections(rejection: &'static str) -> (SocketAddr, Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, runs) = mpsc::channel();
+    thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let (mut stream, sender) = (stream.unwrap(), sender.clone());
+            thread::spawn(move || {
+                let mut buffer = [0; 2_048];
+                let mut has_rejected = false;
+                while let Ok(1..) = stream.read(&mut buffer) {
+                    let text = if has_rejected || number > 0 {
+                        // The test may have dropped the receiver.
+                        let _ = sender.send(());
+                        let copy = if has_rejected { rejection } else { "" };
+                        format!("{copy}{VALID_RESPONSE}")
+                    } else {
+                        has_rejected = true;
+                        rejection.to_owned()
+                    };
+                    if stream.write_all(text.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, runs)
+}
+
+/// Guards against a second attempt that is reported as not run although the upstream ran it: a late copy of the
+/// rejection of the first attempt has the same name and arrives on the connection that both share.
+#[test]
+fn a_request_is_not_sent_again_on_a_connection_on_which_it_was_rejected() {
+    let rejections = [
+        "HTTP/1.1 503 Full\r\nid: none\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 421 Other\r\nid: other\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for rejection in rejections {
+        let (address, runs) = upstream_with_late_rejections(rejection);
+        let world = World::new();
+        let rejected = world.attempt(address);
+        assert!(
+            matches!(
+                rejected,
+                Ended::Misdirected | Ended::Failed { ran: Ran::No, .. }
+            ),
+            "{rejected:?}"
+        );
+        let second = world.attempt(address);
+        assert!(runs.recv_timeout(Duration::from_mins(1)).is_ok());
+        assert!(
+            matches!(second, Ended::Answered { status: 200, .. }),
+            "{second:?}"
+        );
+    }
+}
+
+/// Guards against a response without a name being delivered to a request that has none either, on a connection
+/// that another request used before.
+#[test]
+fn a_request_without_a_name_gets_a_connection_of_its_own() {
+    let unnamed = "HTTP/1.1 200 OK\r\nany: 1\r\ncontent-length: 2\r\n\r\nok";
+    let (address, _received) = upstream(unnamed, false);
+    let world = World::new();
+    for _ in 0..3 {
+        let _guard = world.send_named(address, None, BUDGET_MS);
+        assert!(world.next_report().answer.is_some());
+    }
+    let samples = world.context.metrics.read();
+    let opened = samples
+        .iter()
+        .find(|row| row.name.contains("connections_opened"));
+    assert_eq!(opened.map(|row| row.value), Some(3));
+}
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -32,11 +32,16 @@
 /// servers usually accept. A head without end fails at this size.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Rejections after which a connection is no longer reused: bounds what it has to remember.
+const MAX_REJECTIONS: usize = 16;
+
 /// One HTTP/1.1 connection.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     stream: SharedStream,
+    /// Hashed names of the requests that the peer rejected on it.
+    rejected: Vec<u64>,
 }
 
 impl Connection {
@@ -61,6 +66,18 @@
     fn is_closed(&self) -> bool {
         self.sender.is_closed()
     }
+
+    /// Records that the peer rejected the request with this hashed name.
+    pub(crate) fn record_rejection(&mut self, name: u64) {
+        self.rejected.push(name);
+    }
+
+    /// Whether it may carry the request with this hashed name. After a rejection it may not: a late second copy
+    /// of the rejection has the same name and would be read as the response to the new attempt, which the peer
+    /// may run.
+    fn may_carry(&self, name: u64) -> bool {
+        !self.rejected.contains(&name)
+    }
 }
 
 /// Idle connections by address, in the order in which they were returned.
@@ -85,23 +102,50 @@
         Some(connection)
     }
 
+    /// Like `take`, for a request with the hashed name `name` that the peer may have rejected before.
+    pub(crate) fn take_for(
+        &mut self,
+        address: SocketAddr,
+        max_idle: Duration,
+        name: u64,
+    ) -> Option<Connection> {
+        let row = self.take_where(address, max_idle, |connection| connection.may_carry(name))?;
+        Some(row.connection)
+    }
+
     /// Like `take`, and returns whether responses on the connection name their requests.
     pub(super) fn take_named(
         &mut self,
         address: SocketAddr,
         max_idle: Duration,
     ) -> Option<(Connection, bool)> {
+        let row = self.take_where(address, max_idle, |_| true)?;
+        Some((row.connection, row.named))
+    }
+
+    /// Takes the most recently used connection that is usable and that `accepts` admits; closes the unusable
+    /// ones that it finds before it.
+    fn take_where(
+        &mut self,
+        address: SocketAddr,
+        max_idle: Duration,
+        accepts: impl Fn(&Connection) -> bool,
+    ) -> Option<Idle> {
         let idle = self.idle.get_mut(&address)?;
-        while let Some(row) = idle.pop() {
+        for at in (0..idle.len()).rev() {
+            if !accepts(&idle[at].connection) {
+                continue;
+            }
+            let row = idle.remove(at);
             if row.since.elapsed() < max_idle && row.connection.is_reusable() {
-                return Some((row.connection, row.named));
+                return Some(row);
             }
         }
         None
     }
 
-    /// Returns a connection to the pool. Its last response must have been read completely. Closes
-    /// the least recently used one if more than `max` are idle.
+    /// Returns a connection to the pool. Its last response must have been read completely. Closes it after
+    /// `MAX_REJECTIONS`, and the least recently used one if more than `max` are idle.
     pub(crate) fn keep(&mut self, address: SocketAddr, connection: Connection, max: usize) {
         self.keep_named(address, connection, false, max);
     }
@@ -114,6 +158,9 @@
         named: bool,
         max: usize,
     ) {
+        if connection.rejected.len() >= MAX_REJECTIONS {
+            return;
+        }
         if self.idle.get(&address).is_none() {
             self.idle.insert(address, Vec::new());
         }
@@ -173,5 +220,9 @@
         // The attempt that uses the connection receives the error from `try_send_request`.
         let _ = connection.await;
     });
-    Ok(Connection { sender, stream })
+    Ok(Connection {
+        sender,
+        stream,
+        rejected: Vec::new(),
+    })
 }
