Fence evacuation orders, so that an abandoned one undoes none that came later

Cause: an evacuation order has neither identity nor base, and a control VM that was frozen handed it on although its caller had given it up, repeated it elsewhere and ordered the opposite since.

Change: a quorum confirms the catalogue's revision first; the order is dropped if its caller has disconnected by then (E2021), and otherwise submitted with that revision as its base, which the log rejects once a later order for the zone was accepted. Each accepted order raises the revision.

Ruled out: a bound on age (a frozen process does not notice its freeze).

--- a/src/catalog/decide.rs
+++ b/src/catalog/decide.rs
@@ -9,16 +9,17 @@
     crate::policy::{Accepted, Rejection},
 };
 
-/// Applies `order`, or rejects it without a change. An order that is stale or repeats the current
-/// state is accepted without a change of the revision.
+/// Applies `order`, or rejects it without a change. A report or a removal that is stale, and a configuration
+/// that was accepted before, are accepted without a change of the revision.
 ///
 /// # Errors
-/// The base version is not the current one, or the configuration change is invalid.
+/// The base version is not the current one, a later evacuation order was accepted, or the configuration
+/// change is invalid.
 ///
 /// ```
 /// use siskinstep::catalog::{self, Catalog, Order};
 /// let mut catalog = Catalog::default();
-/// let order = Order::Evacuate { zone: "north-a".into(), on: true };
+/// let order = Order::Evacuate { zone: "north-a".into(), on: true, base: None };
 /// assert_eq!(catalog::apply(&mut catalog, order).unwrap().version, 1);
 /// assert!(catalog.emptied.get("north-a").is_some());
 /// ```
@@ -44,8 +45,7 @@
             }
             changed
         }
-        Order::Evacuate { zone, on: true } => catalog.emptied.put(&zone, (), next),
-        Order::Evacuate { zone, on: false } => catalog.emptied.remove(&zone, next),
+        Order::Evacuate { zone, on, base } => evacuate(catalog, &zone, on, base, next)?,
     };
     if changed {
         catalog.revision = next;
@@ -115,6 +115,35 @@
     catalog.upstreams.put(id, upstream, next)
 }
 
+/// Evacuates an availability zone or admits it again. The revision increases even if the zone is in that state
+/// already, so that an order which was abandoned before this one can be recognised as older.
+fn evacuate(
+    catalog: &mut Catalog,
+    zone: &str,
+    on: bool,
+    base: Option<u64>,
+    next: u64,
+) -> Result<bool, Rejection> {
+    let orders = &mut catalog.evacuation_orders;
+    match orders.binary_search_by(|row| row.0.as_str().cmp(zone)) {
+        Ok(at) if base.is_some_and(|base| orders[at].1 > base) => {
+            return Err(Rejection::Conflict {
+                version: orders[at].1,
+                winner: String::new(),
+                command: String::new(),
+            });
+        }
+        Ok(at) => orders[at].1 = next,
+        Err(at) => orders.insert(at, (zone.to_owned(), next)),
+    }
+    if on {
+        catalog.emptied.put(zone, (), next);
+    } else {
+        catalog.emptied.remove(zone, next);
+    }
+    Ok(true)
+}
+
 fn deregister(
     catalog: &mut Catalog,
     id: &str,
--- a/src/catalog/messages.rs
+++ b/src/catalog/messages.rs
@@ -188,5 +188,10 @@
         zone: String,
         /// Whether the zone is evacuated.
         on: bool,
+        /// Revision of the catalogue that a quorum confirmed after the order had arrived. The order is rejected
+        /// once a later one for the zone is accepted. `None` in entries of earlier versions, which are always
+        /// accepted.
+        #[serde(default)]
+        base: Option<u64>,
     },
 }
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -37,6 +37,9 @@
     pub(super) accepted: Vec<ChangeId>,
     /// Name and incarnation of deregistered upstreams, oldest first.
     pub(super) left: Vec<(String, u64)>,
+    /// Revision of the latest evacuation order of each availability zone, in ascending order of name.
+    #[serde(default)]
+    pub(super) evacuation_orders: Vec<(String, u64)>,
 }
 
 /// Changes since a given revision, for followers.
@@ -104,7 +107,8 @@
     /// use siskinstep::catalog::{self, Catalog, Order};
     /// let mut catalog = Catalog::default();
     /// for zone in ["north-a", "north-b"] {
-    ///     catalog::apply(&mut catalog, Order::Evacuate { zone: zone.into(), on: true }).unwrap();
+    ///     let order = Order::Evacuate { zone: zone.into(), on: true, base: None };
+    ///     catalog::apply(&mut catalog, order).unwrap();
     /// }
     /// assert_eq!(catalog.page(0, 1).revision, 1);
     /// assert_eq!(catalog.page(1, 1).revision, 2);
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -321,6 +321,7 @@
                 2 => Order::Evacuate {
                     zone: format!("z{}", n % 3),
                     on: n % 2 == 0,
+                    base: None,
                 },
                 3 => replace(
                     catalog.version,
@@ -348,3 +349,17 @@
         assert_eq!(follower.services.rows(), catalog.services.rows());
     });
 }
+
+/// Guards against a log entry or a snapshot of an earlier version that a control VM can no longer read.
+#[test]
+fn entries_and_snapshots_without_evacuation_bases_are_read() {
+    let entry = r#"{"evacuate":{"zone":"north-a","on":true}}"#;
+    let order: Order = serde_json::from_str(entry).unwrap();
+    let mut catalog = Catalog::default();
+    apply(&mut catalog, order.clone()).unwrap();
+    let mut image = serde_json::to_value(&catalog).unwrap();
+    image.as_object_mut().unwrap().remove("evacuation_orders");
+    let mut restored: Catalog = serde_json::from_value(image).unwrap();
+    assert!(restored.emptied.get("north-a").is_some());
+    apply(&mut restored, order).unwrap();
+}
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -4,6 +4,7 @@
 //! costs the leader less than a caller that is redirected to it.
 
 mod decide;
+mod evacuate;
 pub mod messages;
 pub mod serve;
 #[cfg(test)]
--- a/src/handover/tests.rs
+++ b/src/handover/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of where calls are handed over.
 
+mod evacuation;
+
 use {
     super::decide::{MAX_TRIES, Next, next},
     crate::agree::Unavailable,
--- a/src/handover/thread.rs
+++ b/src/handover/thread.rs
@@ -3,15 +3,18 @@
 use {
     super::{
         decide::{self, Next},
+        evacuate::{Evacuation, Step},
         messages::{Message, ReadResult},
         serve::{self, HandedOrders, HandedRead, ORDERS_METHOD, READ_METHOD},
     },
     crate::{
         agree::{SubmitResult, Unavailable},
+        cancel::Cancel,
         catalog::{Order, serve::Source},
         context::Context,
         duty,
         edge::{Secret, client::Client},
+        observe::{Event, report},
         ring::AsyncReceiver,
         sorted::Sorted,
     },
@@ -20,7 +23,10 @@
     std::{
         cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration,
     },
-    tokio::{sync::Semaphore, time},
+    tokio::{
+        sync::{Semaphore, oneshot},
+        time,
+    },
 };
 
 /// Timeout of a call to the leader: callers wait for a second, and then call another control VM.
@@ -82,6 +88,19 @@
                     tokio::task::spawn_local(async move { duty.orders(single).await });
                 }
                 Message::Order { order, reply } => orders.push((*order, reply)),
+                Message::Evacuate {
+                    zone,
+                    on,
+                    cancel,
+                    reply,
+                } => {
+                    let duty = duty.clone();
+                    tokio::task::spawn_local(async move {
+                        if let Some(result) = duty.evacuate(zone, on, &cancel).await {
+                            reply(result);
+                        }
+                    });
+                }
                 Message::Read { reply } => {
                     let duty = duty.clone();
                     tokio::task::spawn_local(async move { reply(duty.read().await) });
@@ -154,7 +173,47 @@
         }
     }
 
+    async fn submit(&self, order: Order) -> SubmitResult {
+        let (tx, rx) = oneshot::channel();
+        let reply = Box::new(move |result| drop(tx.send(result)));
+        self.orders(vec![(order, reply)]).await;
+        rx.await.unwrap_or(Err(Unavailable::Unknown))
+    }
+
+    /// Carries out an evacuation order; `None` if its caller has given up.
+    async fn evacuate(&self, zone: String, on: bool, cancel: &Cancel) -> Option<SubmitResult> {
+        let detail = format!("zone {zone}, evacuated {on}");
+        let mut evacuation = Evacuation::new(zone, on);
+        let mut step = Step::Confirm;
+        loop {
+            step = match step {
+                Step::Confirm => {
+                    let revision = self.revision().await;
+                    evacuation.confirmed(revision, cancel.is_cancelled())
+                }
+                Step::Submit(order) => evacuation.submitted(self.submit(order).await),
+                Step::Reply(result) => {
+                    report(
+                        Event::EVACUATION_ENDED,
+                        format_args!("{detail}: {result:?}"),
+                    );
+                    return Some(result);
+                }
+                Step::Abandon => {
+                    report(Event::ORDER_ABANDONED, format_args!("{detail}"));
+                    return None;
+                }
+            };
+        }
+    }
+
     async fn read(&self) -> ReadResult {
+        let revision = self.revision().await?;
+        self.reach(revision).await
+    }
+
+    /// Revision of the newest catalogue, confirmed by a quorum.
+    async fn revision(&self) -> Result<u64, Unavailable> {
         self.wait_for_leader().await;
         let mut last = None;
         for tries in 0.. {
@@ -165,7 +224,7 @@
             };
             match result {
                 Err(reason) => last = Some(reason),
-                Ok(revision) => return self.reach(revision).await,
+                Ok(revision) => return Ok(revision),
             }
         }
         Err(Unavailable::NoQuorum)
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -67,6 +67,8 @@
     DISK_BACK = 2009 Info "Writes to the data folder succeed again", "None.";
     DISK_RENEWED = 2010 Info "This control VM restarts as a new disk", "None; it counts towards quorums again once it has caught up.";
     NOT_KEPT = 2011 Warn "No `data_dir`: accepted configuration is lost when the process exits", "Set `data_dir`, except for a trial.";
+    EVACUATION_ENDED = 2020 Info "Order to evacuate an availability zone or to admit it again ended", "None; the line has the result.";
+    ORDER_ABANDONED = 2021 Info "Order dropped, as its caller disconnected before it was submitted", "None; the caller repeats it at another control VM.";
     MEMBER_UP = 2101 Info "Entry VM joined or rejoined", "None.";
     MEMBER_DOWN = 2102 Warn "Entry VM evicted after it stopped responding", "Check the VM and its network.";
     MEMBER_LEFT = 2103 Info "Entry VM is leaving", "None.";
