--- a/src/admin/poisoned.rs
+++ b/src/admin/poisoned.rs
@@ -48,19 +48,17 @@
 fn parse_lift(body: &[u8]) -> Option<Lift> {
     let text = std::str::from_utf8(body).ok()?.trim();
     if text.is_empty() {
-        return Some(Lift { fingerprint: None });
+        return Some(Lift::default());
     }
-    let is_hex = text.len() == 32 && text.bytes().all(|digit| digit.is_ascii_hexdigit());
-    let (high, low) = text.split_at_checked(16).filter(|_| is_hex)?;
-    let high = u64::from_str_radix(high, 16).ok()?;
-    let low = u64::from_str_radix(low, 16).ok()?;
-    let fingerprint = Some(Fingerprint(high, low));
-    Some(Lift { fingerprint })
+    Some(Lift {
+        fingerprint: Some(Fingerprint::parse(text)?),
+        ..Lift::default()
+    })
 }
 
 fn row(request: &ChargedRequest) -> Value {
     json!({
-        "print": format!("{:016x}{:016x}", request.fingerprint.0, request.fingerprint.1),
+        "print": request.fingerprint.hex(),
         "upstreams": request.upstreams,
         "poisoned": request.poisoned,
         "left_ms": request.left_ms,
--- a/src/catalog/census.rs
+++ b/src/catalog/census.rs
@@ -13,6 +13,7 @@
         context::Context,
         duty,
         edge::{Secret, client::Client},
+        ledger::Fingerprint,
         observe::{Event, report},
         sorted::Sorted,
     },
@@ -27,6 +28,8 @@
 
 /// Interval between two rounds: a fraction of the report timeout of upstreams.
 const ROUND_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after the last loss after which the charges of a request expire.
+const CHARGE_TTL: Duration = Duration::from_mins(10);
 /// Timeout of a call to another control VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -66,6 +69,37 @@
     expired
 }
 
+/// When this control VM first had each charged request in its present state, by name and revision.
+pub(super) type FirstCharged = Sorted<(String, u64), Instant>;
+
+/// Orders that remove the charges that have not changed for `ttl`. Updates `first_charged`.
+pub(super) fn expired_charges(
+    catalog: &Catalog,
+    first_charged: &mut FirstCharged,
+    ttl: Duration,
+    now: Instant,
+) -> Vec<Order> {
+    let rows = catalog.charges.rows();
+    let is_held = |(name, revision): &(String, u64)| {
+        let mut rows = rows.iter();
+        rows.any(|row| row.name == *name && row.revision == *revision)
+    };
+    first_charged.retain(|key, _| is_held(key));
+    let mut orders = Vec::new();
+    for row in rows {
+        let key = (row.name.clone(), row.revision);
+        let since = first_charged.get(&key).copied().unwrap_or(now);
+        first_charged.insert(key, since);
+        if now.saturating_duration_since(since) >= ttl {
+            orders.push(Order::Lift {
+                fingerprint: Fingerprint::parse(&row.name),
+                base: Some(row.revision),
+            });
+        }
+    }
+    orders
+}
+
 /// Starts the duty, which exits when `stop` closes. `local` is the peer listener of this VM, and
 /// `timeout` the time after which an upstream without a report is removed.
 ///
@@ -92,6 +126,7 @@
     timeout: Duration,
 ) {
     let mut first_seen = FirstSeen::default();
+    let mut first_charged = FirstCharged::default();
     let mut clients: Sorted<SocketAddr, Client> = Sorted::default();
     loop {
         time::sleep(ROUND_INTERVAL).await;
@@ -132,6 +167,13 @@
         );
         // Members hear of all reports; only the leader accepts the order.
         let is_leader = *source.leader.borrow() == Some(local);
+        let now = Instant::now();
+        for order in expired_charges(&catalog, &mut first_charged, CHARGE_TTL, now) {
+            if is_leader {
+                let (order, reply) = (Box::new(order), Box::new(|_| {}));
+                let _ = source.ring.offer(Message::Order { order, reply });
+            }
+        }
         if !expired.is_empty() && is_leader {
             report(Event::UPSTREAM_LAPSED, format_args!("{expired:?}"));
             let order = Box::new(Order::Forget { silent: expired });
--- a/src/catalog/decide.rs
+++ b/src/catalog/decide.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        configure,
+        charges, configure,
         messages::{Order, Upstream},
         state::{Catalog, MAX_DEREGISTERED},
     },
@@ -45,6 +45,8 @@
             }
             changed
         }
+        Order::Charge { charges } => charges::charge(catalog, &charges, next),
+        Order::Lift { fingerprint, base } => charges::lift(catalog, fingerprint, base, next),
         Order::Evacuate { zone, on, base } => evacuate(catalog, &zone, on, base, next)?,
     };
     if changed {
--- a/src/catalog/messages.rs
+++ b/src/catalog/messages.rs
@@ -1,6 +1,7 @@
 //! Rows of the catalogue, and the orders that change it.
 
 use {
+    crate::{ledger::Fingerprint, poison::Charge},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -182,6 +183,18 @@
         /// Name and incarnation of each.
         silent: Vec<(String, u64)>,
     },
+    /// Charges requests with the loss of upstreams that were running them.
+    Charge {
+        /// The charges.
+        charges: Vec<Charge>,
+    },
+    /// Removes charges.
+    Lift {
+        /// The request; all requests if absent.
+        fingerprint: Option<Fingerprint>,
+        /// Latest revision whose charges are removed.
+        base: Option<u64>,
+    },
     /// Excludes the upstreams of an availability zone from traffic, or admits them again.
     Evacuate {
         /// Name of the zone.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -5,6 +5,7 @@
 //! the rows that changed after its current revision.
 
 pub mod census;
+mod charges;
 mod configure;
 pub mod decide;
 pub mod follow;
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -5,6 +5,7 @@
         messages::{ChangeId, Limits, Route, Service, Upstream},
         table::{Patch, Table},
     },
+    crate::poison::Process,
     serde::{Deserialize, Serialize},
 };
 
@@ -33,6 +34,9 @@
     pub emptied: Table<()>,
     /// Registered upstreams by name.
     pub upstreams: Table<Upstream>,
+    /// Lost processes of upstreams by the fingerprint of the request that was running on them.
+    #[serde(default)]
+    pub charges: Table<Vec<Process>>,
     /// Accepted configuration changes, oldest first.
     pub(super) accepted: Vec<ChangeId>,
     /// Name and incarnation of deregistered upstreams, oldest first.
@@ -61,6 +65,8 @@
     pub emptied: Patch<()>,
     /// Changes of upstreams.
     pub upstreams: Patch<Upstream>,
+    /// Changes of charged requests.
+    pub charges: Patch<Vec<Process>>,
 }
 
 impl Delta {
@@ -122,6 +128,7 @@
             .chain(self.limits.revisions(since))
             .chain(self.emptied.revisions(since))
             .chain(self.upstreams.revisions(since))
+            .chain(self.charges.revisions(since))
             .collect();
         if revisions.len() <= max_rows {
             return self.since(since);
@@ -136,6 +143,7 @@
             self.limits.floor(),
             self.emptied.floor(),
             self.upstreams.floor(),
+            self.charges.floor(),
         ];
         let until = floors.into_iter().fold(until, u64::max);
         self.between(since, until)
@@ -151,6 +159,7 @@
             limits: self.limits.between(since, until),
             emptied: self.emptied.between(since, until),
             upstreams: self.upstreams.between(since, until),
+            charges: self.charges.between(since, until),
         }
     }
 
@@ -173,6 +182,7 @@
         self.limits.merge(delta.limits);
         self.emptied.merge(delta.emptied);
         self.upstreams.merge(delta.upstreams);
+        self.charges.merge(delta.charges);
         true
     }
 }
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -2,12 +2,12 @@
     super::{
         Catalog, ChangeId, Configuration, Edit, Idempotency, Limits, Order, Route, Service,
         Upstream, WeightedService, apply,
-        census::{FirstSeen, expired},
+        census::{FirstCharged, FirstSeen, expired, expired_charges},
         decide::has_changes,
         last_reports::LastReports,
         receiver::receiver,
     },
-    crate::{agree::ControlVm, policy::Rejection},
+    crate::{agree::ControlVm, ledger::Fingerprint, poison::Charge, policy::Rejection},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -363,3 +363,59 @@
     assert!(restored.emptied.get("north-a").is_some());
     apply(&mut restored, order).unwrap();
 }
+
+/// Guards against charges that count one lost process for each entry VM, that a late lift removes after a new
+/// loss, or that grow without bound.
+#[test]
+fn charges_are_counted_by_process_lifted_by_revision_and_bounded() {
+    let mut catalog = Catalog::default();
+    let charge = |request: u64, born| Charge {
+        fingerprint: Fingerprint(request, 0),
+        upstream: "10.0.0.1:80".parse().unwrap(),
+        born,
+    };
+    let losses = |catalog: &Catalog, request| {
+        let losses = catalog.charges.get(&Fingerprint(request, 0).hex());
+        losses.map_or(0, Vec::len)
+    };
+    let apply_charge = |catalog: &mut Catalog, charges| {
+        apply(catalog, Order::Charge { charges }).unwrap();
+    };
+    apply_charge(&mut catalog, vec![charge(1, 7), charge(1, 7), charge(2, 7)]);
+    let base = Some(catalog.revision);
+    apply_charge(&mut catalog, vec![charge(1, 8), charge(1, 7)]);
+    assert_eq!((losses(&catalog, 1), losses(&catalog, 2)), (2, 1));
+    let lift = Order::Lift {
+        fingerprint: None,
+        base,
+    };
+    apply(&mut catalog, lift).unwrap();
+    assert_eq!((losses(&catalog, 1), losses(&catalog, 2)), (2, 0));
+    for request in 0..2_000 {
+        apply_charge(&mut catalog, vec![charge(request, 9)]);
+    }
+    assert_eq!(catalog.charges.rows().len(), 1_024);
+}
+
+/// Guards against charges that never expire, which would refuse a request after the upstreams were fixed.
+#[test]
+fn charges_expire_after_the_last_loss() {
+    let mut catalog = Catalog::default();
+    let mut first_charged = FirstCharged::default();
+    let start = Instant::now();
+    let ttl = Duration::from_mins(1);
+    for born in 1..=2 {
+        let charges = vec![Charge {
+            fingerprint: Fingerprint(1, 0),
+            upstream: "10.0.0.1:80".parse().unwrap(),
+            born,
+        }];
+        apply(&mut catalog, Order::Charge { charges }).unwrap();
+        let now = start + ttl * (u32::try_from(born).unwrap() - 1);
+        assert!(expired_charges(&catalog, &mut first_charged, ttl, now).is_empty());
+    }
+    for order in expired_charges(&catalog, &mut first_charged, ttl, start + ttl * 2) {
+        apply(&mut catalog, order).unwrap();
+    }
+    assert!(catalog.charges.rows().is_empty());
+}
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -10,7 +10,7 @@
         handover,
         keys::DiskId,
         observe::{Event, report},
-        operator,
+        operator, poison,
         policy::Policy,
         ring,
         spread::{self, Fleet, Source},
@@ -139,6 +139,7 @@
         let inputs = (mirror_stopped, handover_receiver);
         threads.extend(start_helpers(settings, &context, secret, &source, inputs)?);
         handover::serve::register(&mut module, agree.clone())?;
+        poison::register_orders(&mut module, &handover)?;
         catalog::serve::register(&mut module, source)?;
         let source = Source {
             policies: policies_rx,
--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -3,6 +3,7 @@
 
 use {
     super::{
+        crashes::Crashes,
         messages::{Dispatch, Ended, Head, Load, Meaning, WireFormat},
         settings::Settings,
     },
@@ -34,6 +35,7 @@
     pub(super) wire_format: WireFormat,
     pub(super) pool: Rc<RefCell<Pool>>,
     pub(super) held: Held,
+    pub(super) crashes: Crashes,
 }
 
 /// Outcome of an attempt, with the response to deliver.
--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -20,6 +20,8 @@
     pub address: SocketAddr,
     /// Name of the upstream that is expected at the address.
     pub id: Arc<str>,
+    /// Incarnation of the upstream, 0 if unknown.
+    pub born: u64,
 }
 
 /// An attempt to dispatch.
--- a/src/courier/mod.rs
+++ b/src/courier/mod.rs
@@ -4,6 +4,7 @@
 //! A [`WireFormat`] encodes the requests and decodes the heads of the responses.
 
 mod attempt;
+mod crashes;
 pub mod messages;
 pub mod settings;
 #[cfg(test)]
--- a/src/courier/tests.rs
+++ b/src/courier/tests.rs
@@ -7,18 +7,22 @@
         cancel::{self, Guard},
         context::Context,
         keys::{InFlightKey, ZoneKey},
-        ring,
+        poison::{self, Monitor, Verdicts},
+        ring::{self, Ring, Wait},
     },
     http_body_util::Full,
     hyper::{Request, header::HeaderValue},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpListener},
-        sync::mpsc::{self, Receiver},
+        sync::{
+            Arc,
+            mpsc::{self, Receiver},
+        },
         thread,
         time::Duration,
     },
-    tokio::sync::oneshot,
+    tokio::sync::{oneshot, watch},
 };
 
 /// A valid response to the request `7`.
@@ -90,21 +94,25 @@
 struct World {
     dispatches: ring::AsyncSender<Dispatch>,
     reports: Receiver<Report>,
+    poison: Ring<poison::Message>,
     context: Context,
     _stop: oneshot::Sender<()>,
 }
 
 impl World {
     fn new() -> Self {
-        let context = Context::new("entry-1", ZoneKey(0), std::sync::Arc::default());
+        let context = Context::new("entry-1", ZoneKey(0), Arc::default());
         let (dispatches, receiver) = ring::bounded_async(8);
         let (sender, reports) = mpsc::channel();
         let (stop, stopped) = oneshot::channel();
         let report = move |report| drop(sender.send(report));
+        let (ring, poison) = ring::bounded(8);
+        let (_, verdicts) = watch::channel(Arc::<Verdicts>::default());
         spawn(
             &context,
             Settings::default(),
             WIRE_FORMAT,
+            Monitor { verdicts, ring },
             receiver,
             report,
             stopped,
@@ -113,6 +121,7 @@
         Self {
             dispatches,
             reports,
+            poison,
             context,
             _stop: stop,
         }
@@ -148,6 +157,7 @@
             target: Target {
                 address,
                 id: "u-1".into(),
+                born: 5,
             },
             until: self.context.clock.now().plus_millis(remaining_ms),
             payload: payload.into(),
@@ -422,3 +432,41 @@
         .find(|row| row.name.contains("connections_opened"));
     assert_eq!(opened.map(|row| row.value), Some(3));
 }
+
+/// Starts an upstream that cuts the connection of its first request, and then closes its listener too if
+/// `crashes`.
+fn upstream_that_cuts(crashes: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 2_048]).unwrap();
+        drop(stream);
+        if !crashes {
+            // Keeps the connections of the checks open.
+            let _held: Vec<_> = listener.incoming().collect();
+        }
+    });
+    address
+}
+
+/// Guards against a request that crashes upstreams and is never charged, and against requests that are charged
+/// because an upstream in trouble cut their responses.
+#[test]
+fn a_loss_is_reported_only_if_the_upstream_refuses_connections_after_a_cut() {
+    for crashes in [true, false] {
+        let address = upstream_that_cuts(crashes);
+        let world = World::new();
+        assert_eq!(
+            world.attempt(address),
+            failed(Reason::AnswerCut, Ran::Unknown)
+        );
+        let next = || world.poison.recv_within(Duration::from_secs(2));
+        let Wait::Message(poison::Message::Cut { process, .. }) = next() else {
+            panic!("the cut is not reported");
+        };
+        assert_eq!((process.address, process.born), (address, 5));
+        let lost = matches!(next(), Wait::Message(poison::Message::Lost(at)) if at == address);
+        assert_eq!(lost, crashes);
+    }
+}
--- a/src/courier/thread.rs
+++ b/src/courier/thread.rs
@@ -3,10 +3,14 @@
 use {
     super::{
         attempt::{self, Resources},
+        crashes::{self, Crashes},
         messages::{Dispatch, Report, WireFormat},
         settings::Settings,
     },
-    crate::{context::Context, duty, edge::held::Held, relay::pool::Pool, ring::AsyncReceiver},
+    crate::{
+        context::Context, duty, edge::held::Held, poison::Monitor, relay::pool::Pool,
+        ring::AsyncReceiver,
+    },
     std::{
         cell::{Cell, RefCell},
         io,
@@ -20,7 +24,8 @@
 /// Interval at which connections that have been idle for too long are closed.
 const EVICT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Starts the duty; it calls `report` with the result of each attempt and exits when `stop` closes.
+/// Starts the duty; it calls `report` with the result of each attempt, tells `monitor` which requests upstreams
+/// crashed on, and exits when `stop` closes.
 ///
 /// # Errors
 /// The thread or its runtime cannot start.
@@ -28,6 +33,7 @@
     context: &Context,
     settings: Settings,
     wire_format: WireFormat,
+    monitor: Monitor,
     receiver: AsyncReceiver<Dispatch>,
     report: impl Fn(Report) + Clone + Send + 'static,
     stop: oneshot::Receiver<()>,
@@ -40,6 +46,7 @@
             wire_format,
             held: Held::new(settings.held_bytes),
             pool: Rc::new(RefCell::new(Pool::default())),
+            crashes: Crashes::new(monitor),
         };
         duty::run_until(stop, run(resources, receiver, report))
     })
@@ -71,6 +78,7 @@
         let connect_us = Cell::new(None);
         let (ended, answer) = attempt::run(&resources, &dispatch, &connect_us).await;
         let elapsed = resources.context.clock.now().since(started);
+        crashes::record(&resources, &dispatch, ended);
         report(Report {
             in_flight: dispatch.in_flight,
             ended,
--- a/src/entry/duties.rs
+++ b/src/entry/duties.rs
@@ -11,7 +11,9 @@
         context::Context,
         drain,
         edge::Secret,
-        explain, forward, lookup, poison, relay, shift, slots,
+        explain, forward, lookup,
+        membership::messages::MembersReceiver,
+        poison, relay, shift, slots,
         spread::{self, Dependencies},
     },
     snafu::ResultExt,
@@ -100,11 +102,12 @@
         rx.slots,
         rings.slots_outputs.clone(),
     );
-    let guard = poison::Guard {
-        topology: Arc::clone(&context.topology),
+    let monitor = poison::Monitor {
         verdicts: rings.verdicts.clone(),
         ring: rings.poison.clone(),
     };
+    let topology = Arc::clone(&context.topology);
+    let guard = poison::Guard { topology, monitor };
     let relay = relay::spawn(
         context,
         settings.relay,
@@ -118,7 +121,7 @@
         settings.poison,
         poison::Dependencies {
             secret: secret.clone(),
-            members: rings.members.clone(),
+            recipients: zone_peers(context, rings.members.clone()),
         },
         rx.poison,
         rx.verdicts,
@@ -163,3 +166,14 @@
     let thread = spread::spawn(context, settings, secret, deps, stop_signals.subscribe());
     thread.context(ThreadSnafu { name: "spread" })
 }
+
+/// The other entry VMs of the availability zone, which count charges by themselves.
+fn zone_peers(context: &Context, members: MembersReceiver) -> poison::Recipients {
+    let (zone, local) = (context.zone, Arc::clone(&context.vm));
+    poison::Recipients::All(Box::new(move || {
+        let members = members.borrow();
+        let rows = members.rows.iter();
+        let peers = rows.filter(|row| row.zone == zone && *row.name != *local);
+        peers.map(|row| row.peers).collect()
+    }))
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway.
 
 use {
-    crate::{catalog, courier, settings::vm::Vm, steer},
+    crate::{catalog, courier, poison, settings::vm::Vm, steer},
     std::net::SocketAddr,
 };
 
@@ -26,6 +26,8 @@
     pub steer: steer::Settings,
     /// Settings for connections to upstreams.
     pub courier: courier::Settings,
+    /// Settings for requests that crash upstreams.
+    pub poison: poison::Settings,
     /// Milliseconds for which a stopping VM continues to accept callers, until no caller uses a
     /// look-up response that names it: callers cache these responses for some seconds.
     pub linger_ms: u64,
--- a/src/gateway/wiring.rs
+++ b/src/gateway/wiring.rs
@@ -10,6 +10,7 @@
         courier::{self, WireFormat},
         edge::{self, Handler, Listener, ListenerHandle, Secret, listener::ListenError},
         observe::{Event, report},
+        poison::{self, Monitor, Recipients},
         ring::{self, Sender},
         steer,
     },
@@ -101,11 +102,15 @@
             steer: steer.clone(),
             has_configuration: Arc::default(),
         };
+        let (control_tx, control) = watch::channel(settings.catalog.control.clone());
+        let (monitor, poison_stops, poison_threads) =
+            start_poison(settings, &context, secret, control)?;
         let deps = steer::Dependencies {
             context: context.clone(),
             zone: settings.zone.clone(),
             zones: settings.zones.clone(),
             courier,
+            monitor: monitor.clone(),
         };
         let steer_thread = steer::spawn(settings.steer.clone(), deps, steer_ring);
         let outcomes = steer.clone();
@@ -118,25 +123,20 @@
             &context,
             settings.courier,
             wire_format,
+            monitor.clone(),
             courier_receiver,
             on_attempt_end,
             courier_stopped,
         );
-        let local = Beacon {
-            vm: settings.vm.name.clone(),
-            zone: settings.zone.clone(),
-            callers: settings.callers,
-            incarnation: context.incarnation,
-            beat: 0,
-            ready: false,
-        };
+        let local = local_beacon(settings, &context);
         let beacon_thread = beacon::send::spawn(local, beacon_ring);
-        let publish = publisher(
-            handle.clone(),
-            beacon.clone(),
-            settings.zone.clone(),
-            settings.beacon_port,
-        );
+        let followers = Followers {
+            beacon: beacon.clone(),
+            poison: monitor.ring.clone(),
+            control: control_tx,
+        };
+        let zone = settings.zone.clone();
+        let publish = publisher(handle.clone(), followers, zone, settings.beacon_port);
         let catalog_thread = follow::spawn(
             context.clone(),
             settings.zone.clone(),
@@ -146,12 +146,15 @@
             publish,
             follow_stopped,
         );
-        let threads = vec![
+        let mut threads = vec![
             steer_thread.context(ThreadSnafu { name: "steer" })?,
             courier_thread.context(ThreadSnafu { name: "courier" })?,
             beacon_thread.context(ThreadSnafu { name: "beacon" })?,
             catalog_thread.context(ThreadSnafu { name: "catalog" })?,
         ];
+        threads.extend(poison_threads);
+        let mut stops = vec![follow_stop, courier_stop];
+        stops.extend(poison_stops);
         let listen = |name, address, make_handler| {
             let listener = Listener {
                 name,
@@ -161,7 +164,10 @@
             };
             edge::spawn(listener, context.clone(), make_handler)
         };
-        let deps = admin::Dependencies::metrics_only(context.clone());
+        let deps = admin::Dependencies {
+            poison: Some(monitor.ring),
+            ..admin::Dependencies::metrics_only(context.clone())
+        };
         let admin = listen(
             "admin",
             settings.admin,
@@ -180,7 +186,7 @@
             admin,
             beacon,
             seeds,
-            stops: vec![follow_stop, courier_stop],
+            stops,
             threads,
             linger: Duration::from_millis(settings.linger_ms),
         })
@@ -232,18 +238,80 @@
     }
 }
 
+fn local_beacon(settings: &Settings, context: &Context) -> Beacon {
+    Beacon {
+        vm: settings.vm.name.clone(),
+        zone: settings.zone.clone(),
+        callers: settings.callers,
+        incarnation: context.incarnation,
+        beat: 0,
+        ready: false,
+    }
+}
+
+/// Starts the duty that finds requests which crash upstreams. Its charges go to any of the control VMs.
+fn start_poison(
+    settings: &Settings,
+    context: &Context,
+    secret: &Secret,
+    control: watch::Receiver<Vec<SocketAddr>>,
+) -> Result<PoisonDuty, StartError> {
+    let (ring, receiver) = ring::bounded(settings.vm.ring);
+    let (verdicts_tx, verdicts) = watch::channel(Arc::default());
+    let (stop_send, send_stopped) = oneshot::channel();
+    let (stop, stopped) = oneshot::channel();
+    let read_control = move || control.borrow().clone();
+    let deps = poison::Dependencies {
+        secret: secret.clone(),
+        recipients: Recipients::Any(Box::new(read_control)),
+    };
+    let stops = [send_stopped, stopped];
+    let threads = poison::spawn(
+        context.clone(),
+        settings.poison,
+        deps,
+        receiver,
+        verdicts_tx,
+        stops,
+    );
+    let threads = threads.context(ThreadSnafu { name: "poison" })?;
+    Ok((Monitor { verdicts, ring }, [stop_send, stop], threads))
+}
+
+/// Access to the poison duty, the channels that end it, and its threads.
+type PoisonDuty = (Monitor, [oneshot::Sender<()>; 2], [JoinHandle<()>; 2]);
+
+/// Receivers of catalogue updates beside the steer duty.
+struct Followers {
+    beacon: Sender<send::Message>,
+    poison: Sender<poison::Message>,
+    /// Control VMs, those of the local zone first.
+    control: watch::Sender<Vec<SocketAddr>>,
+}
+
 /// Forwards each catalogue update to the duties that depend on it.
 fn publisher(
     handle: GatewayHandle,
-    beacon: Sender<send::Message>,
+    followers: Followers,
     zone: String,
     beacon_port: u16,
 ) -> impl Fn(&CatalogView) + Send {
+    let Followers {
+        beacon,
+        poison,
+        control: control_tx,
+    } = followers;
     move |view| {
         let message = steer::Message::CatalogUpdate(Box::new(view.clone()));
         // Blocks while the ring is full, as a change must not be lost. No deadlock: the steer duty never
         // blocks on the catalogue's thread.
         let _ = handle.steer.send(message);
+        // The poison duty never blocks on the catalogue's thread either.
+        let _ = poison.send(poison::Message::Catalog(Arc::clone(&view.catalog)));
+        let (mut near, distant): (Vec<_>, Vec<_>) =
+            view.control.iter().partition(|row| row.zone == zone);
+        near.extend(distant);
+        control_tx.send_replace(near.iter().map(|row| row.peers).collect());
         let rows = view.control.iter();
         let control = rows.map(|row| {
             let is_near = row.zone.is_empty() || row.zone == zone;
--- a/src/ledger/messages.rs
+++ b/src/ledger/messages.rs
@@ -13,6 +13,34 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint(pub u64, pub u64);
 
+impl Fingerprint {
+    /// The fingerprint as 32 hexadecimal digits.
+    ///
+    /// ```
+    /// use siskinstep::ledger::Fingerprint;
+    /// let fingerprint = Fingerprint(1, 2);
+    /// assert_eq!(Fingerprint::parse(&fingerprint.hex()), Some(fingerprint));
+    /// ```
+    #[must_use]
+    pub fn hex(self) -> String {
+        format!("{:016x}{:016x}", self.0, self.1)
+    }
+
+    /// Parses 32 hexadecimal digits.
+    ///
+    /// ```
+    /// assert!(siskinstep::ledger::Fingerprint::parse("12").is_none());
+    /// ```
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_hex = text.len() == 32 && text.bytes().all(|digit| digit.is_ascii_hexdigit());
+        let (high, low) = text.split_at_checked(16).filter(|_| is_hex)?;
+        let high = u64::from_str_radix(high, 16).ok()?;
+        let low = u64::from_str_radix(low, 16).ok()?;
+        Some(Self(high, low))
+    }
+}
+
 /// Outcome of a run as ledgers store it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoredOutcome {
--- a/src/poison/decide.rs
+++ b/src/poison/decide.rs
@@ -1,11 +1,12 @@
 //! Decides when a request is charged with the loss of an upstream, without I/O or clock.
 //!
 //! A single cut connection charges no request. An upstream process is considered lost if two of
-//! its connections are cut within `burst_ms`, or if one is cut and a new connection is refused.
+//! its connections are cut within `burst_ms`, or if one is cut and a new connection is refused. Charges of
+//! the whole fleet are counted by the control VMs (`catalog::charges`).
 
 use {
     super::{
-        messages::{Charge, ChargedRequest, Lift},
+        messages::{Charge, ChargedRequest, Lift, Process},
         settings::Settings,
         state::{ChargeRecord, Cut, State},
     },
@@ -24,7 +25,7 @@
     state: &mut State,
     settings: &Settings,
     fingerprint: Fingerprint,
-    address: SocketAddr,
+    process: Process,
     now: Micros,
 ) -> Vec<Charge> {
     expire(state, settings, now);
@@ -33,12 +34,13 @@
     }
     state.cuts.push_back(Cut {
         fingerprint,
-        address,
+        process,
         at: now,
     });
+    let address = process.address;
     let recent =
-        |cut: &&Cut| cut.address == address && now <= cut.at.plus_millis(settings.burst_ms);
-    if state.cuts.iter().filter(recent).count() < 2 {
+        |cut: &&Cut| cut.process.address == address && now <= cut.at.plus_millis(settings.burst_ms);
+    if settings.burst_ms == 0 || state.cuts.iter().filter(recent).count() < 2 {
         return Vec::new();
     }
     lost(state, settings, address, now)
@@ -53,35 +55,84 @@
     now: Micros,
 ) -> Vec<Charge> {
     let mut charges = Vec::new();
-    for cut in state.cuts.iter().filter(|cut| cut.address == address) {
+    let at_upstream = |cut: &&Cut| cut.process.address == address;
+    for cut in state.cuts.iter().filter(at_upstream) {
         charges.push(Charge {
             fingerprint: cut.fingerprint,
             upstream: address,
+            born: cut.process.born,
         });
     }
-    state.cuts.retain(|cut| cut.address != address);
+    forget_cuts(state, address);
     charges.retain(|charge| self::charge(state, settings, *charge, now));
     charges
 }
 
+/// Removes the cuts of an upstream that is not lost, such as one that was stopped on order.
+pub fn forget_cuts(state: &mut State, address: SocketAddr) {
+    state.cuts.retain(|cut| cut.process.address != address);
+}
+
+/// Whether a process is one whose loss is known. Without incarnations, repeated reports are recognised by their
+/// time.
+fn is_known(known: &(Process, Micros), process: Process, now: Micros) -> bool {
+    let (other, at) = *known;
+    let is_dated = process.born > 0 && other.born > 0;
+    other.address == process.address
+        && if is_dated {
+            other.born == process.born
+        } else {
+            now < at.plus_millis(LOSS_DEDUP_MS)
+        }
+}
+
+/// Takes over the charges that the control VMs hold as of `revision`. Those that they no longer hold are lifted.
+pub fn replicate(
+    state: &mut State,
+    settings: &Settings,
+    (revision, rows): (u64, &[(Fingerprint, Vec<Process>)]),
+    now: Micros,
+) {
+    let replicated: Vec<Fingerprint> = rows.iter().map(|row| row.0).collect();
+    let before = std::mem::replace(&mut state.replicated, replicated);
+    state.revision = revision;
+    for fingerprint in before {
+        if state.replicated.binary_search(&fingerprint).is_err() {
+            state.charges.remove(&fingerprint);
+        }
+    }
+    for (fingerprint, losses) in rows {
+        for process in losses {
+            let replicated = Charge {
+                fingerprint: *fingerprint,
+                upstream: process.address,
+                born: process.born,
+            };
+            charge(state, settings, replicated, now);
+        }
+    }
+}
+
 /// Charges a request with a loss; false if the request is already charged with this loss.
 pub fn charge(state: &mut State, settings: &Settings, charge: Charge, now: Micros) -> bool {
     let until = now.plus_millis(settings.ttl_ms);
+    let process = Process {
+        address: charge.upstream,
+        born: charge.born,
+    };
     if let Some(record) = state.charges.get_mut(&charge.fingerprint) {
-        let same = |(address, at): &(SocketAddr, Micros)| {
-            *address == charge.upstream && now < at.plus_millis(LOSS_DEDUP_MS)
-        };
-        if record.losses.iter().any(same) {
+        let mut losses = record.losses.iter();
+        if losses.any(|known| is_known(known, process, now)) {
             return false;
         }
         record.until = until;
         if record.losses.len() < settings.losses {
-            record.losses.push((charge.upstream, now));
+            record.losses.push((process, now));
         }
         return true;
     }
     evict_oldest(state, settings);
-    let losses = vec![(charge.upstream, now)];
+    let losses = vec![(process, now)];
     state
         .charges
         .insert(charge.fingerprint, ChargeRecord { losses, until });
@@ -112,7 +163,10 @@
 pub fn expire(state: &mut State, settings: &Settings, now: Micros) {
     let keep = |cut: &Cut| now <= cut.at.plus_millis(settings.watch_ms);
     state.cuts.retain(keep);
-    state.charges.retain(|_, record| now < record.until);
+    let replicated = &state.replicated;
+    state.charges.retain(|fingerprint, record| {
+        now < record.until || replicated.binary_search(fingerprint).is_ok()
+    });
 }
 
 /// List of all charged requests, for operators.
@@ -121,7 +175,7 @@
     let rows = state.charges.rows().iter();
     let rows = rows.map(|(fingerprint, record)| ChargedRequest {
         fingerprint: *fingerprint,
-        upstreams: record.losses.iter().map(|loss| loss.0).collect(),
+        upstreams: record.losses.iter().map(|loss| loss.0.address).collect(),
         poisoned: record.losses.len() >= settings.losses,
         left_ms: u64::try_from(record.until.since(now).as_millis()).unwrap_or(u64::MAX),
     });
--- a/src/poison/messages.rs
+++ b/src/poison/messages.rs
@@ -1,24 +1,37 @@
 //! Messages of the poison duty.
 
 use {
-    crate::ledger::Fingerprint,
+    crate::{catalog::Catalog, ledger::Fingerprint},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
+/// A process of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Process {
+    /// Address of its listener.
+    pub address: SocketAddr,
+    /// Incarnation: start time in Unix milliseconds on the upstream's clock, 0 if unknown.
+    pub born: u64,
+}
+
 /// Input of the poison duty.
 pub enum Message {
     /// A connection to an upstream was cut after a request was written to it.
     Cut {
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
-        /// Address of the upstream.
-        address: SocketAddr,
+        /// Process of the upstream.
+        process: Process,
     },
+    /// An upstream with a cut connection refuses new ones.
+    Lost(SocketAddr),
     /// A charged request received a response.
     Responded(Fingerprint),
-    /// A peer has charged a request.
-    Charged(Charge),
+    /// A peer has charged requests.
+    Charged(Vec<Charge>),
+    /// A newer catalogue, with the charges that the control VMs have accepted.
+    Catalog(Arc<Catalog>),
     /// An operator, or a peer on behalf of one, lifts charges.
     Lift {
         /// Charges to lift.
@@ -39,6 +52,17 @@
     pub fingerprint: Fingerprint,
     /// Address of the lost upstream.
     pub upstream: SocketAddr,
+    /// Incarnation of the lost process, 0 if unknown.
+    #[serde(default)]
+    pub born: u64,
+}
+
+/// Charges that are sent together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Charges {
+    /// The charges.
+    pub charges: Vec<Charge>,
 }
 
 /// Order to lift the charges of one request, or of all.
@@ -48,6 +72,10 @@
     /// Fingerprint of the request; all requests if absent.
     #[serde(rename = "print")]
     pub fingerprint: Option<Fingerprint>,
+    /// Revision of the catalogue that the order is based on: charges that were accepted later remain. `None`
+    /// where charges are not replicated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<u64>,
 }
 
 /// Charged request in the list for operators.
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -1,9 +1,10 @@
 //! Detection of poison requests, which crash the upstreams they run on; they are refused throughout
-//! the availability zone.
+//! the availability zone, or the fleet where control VMs count the losses (`catalog::charges`).
 
 pub mod decide;
 mod guard;
 pub mod messages;
+mod monitor;
 mod send;
 pub mod serve;
 pub mod settings;
@@ -13,9 +14,11 @@
 mod thread;
 
 pub use {
-    guard::{Guard, Verdicts},
-    messages::{Charge, ChargedRequest, Lift, Message},
-    serve::register,
+    guard::Guard,
+    messages::{Charge, ChargedRequest, Charges, Lift, Message, Process},
+    monitor::{Monitor, Verdicts, fingerprint},
+    send::Recipients,
+    serve::{register, register_orders},
     settings::Settings,
     thread::{Dependencies, spawn},
 };
--- a/src/poison/send.rs
+++ b/src/poison/send.rs
@@ -1,78 +1,99 @@
-//! Sends charges and lifts to the peers in the availability zone.
+//! Sends charges and lifts to the peers that count them.
 
 use {
     super::{
-        messages::{Charge, Lift},
+        messages::{Charges, Lift},
         serve::{CHARGE, LIFT},
     },
     crate::{
         context::Context,
         duty,
         edge::{Secret, client::Client},
-        membership::messages::MembersReceiver,
         ring::AsyncReceiver,
     },
-    std::{io, thread::JoinHandle, time::Duration},
+    std::{fmt, io, net::SocketAddr, thread::JoinHandle, time::Duration},
     tokio::sync::oneshot,
 };
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of calls per update and peer, including the first.
-const MAX_ATTEMPTS: u32 = 3;
+/// Maximum number of calls per update, including the first: to each peer, or to any.
+const MAX_ATTEMPTS: usize = 3;
 
-/// Update for every peer.
-#[derive(Clone, Copy, Debug)]
+/// Update for the peers.
+#[derive(Clone, Debug)]
 pub(super) enum PeerUpdate {
-    Charge(Charge),
+    Charge(Charges),
     Lift(Lift),
 }
 
+/// Reads the peer listeners to which an update goes.
+pub type ReadPeers = Box<dyn Fn() -> Vec<SocketAddr> + Send>;
+
+/// Which peers receive an update.
+pub enum Recipients {
+    /// Each of them, as each counts charges by itself.
+    All(ReadPeers),
+    /// The first that accepts it, as they replicate it.
+    Any(ReadPeers),
+}
+
+impl fmt::Debug for Recipients {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::All(_) => "All",
+            Self::Any(_) => "Any",
+        })
+    }
+}
+
 /// Starts the thread, which exits when the receiver or `stop` closes.
 pub(super) fn spawn(
     context: Context,
-    members: MembersReceiver,
+    recipients: Recipients,
     secret: Secret,
     receiver: AsyncReceiver<PeerUpdate>,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
     duty::spawn_local("poison-send", move || {
-        duty::run_until(stop, run(context, members, secret, receiver))
+        duty::run_until(stop, run(context, recipients, secret, receiver))
     })
 }
 
 async fn run(
     context: Context,
-    members: MembersReceiver,
+    recipients: Recipients,
     secret: Secret,
     mut receiver: AsyncReceiver<PeerUpdate>,
 ) {
     while let Some(update) = receiver.recv().await {
-        for client in peers(&context, &members, &secret) {
-            let context = context.clone();
-            tokio::task::spawn_local(async move { notify(&context, &client, update).await });
+        let routes = match &recipients {
+            Recipients::All(read) => {
+                let repeat = |address| vec![address; MAX_ATTEMPTS];
+                read().into_iter().map(repeat).collect()
+            }
+            Recipients::Any(read) => vec![read().into_iter().take(MAX_ATTEMPTS).collect()],
+        };
+        for route in routes {
+            let (context, secret, update) = (context.clone(), secret.clone(), update.clone());
+            tokio::task::spawn_local(async move { notify(&context, &secret, route, update).await });
         }
     }
 }
 
-/// Clients of the other entry VMs in the availability zone, from the current members.
-fn peers(context: &Context, members: &MembersReceiver, secret: &Secret) -> Vec<Client> {
-    let members = members.borrow();
-    let rows = members.rows.iter();
-    let peers = rows.filter(|row| row.zone == context.zone && *row.name != *context.vm);
-    let clients = peers.map(|row| Client::new(row.peers, secret, CALL_TIMEOUT));
-    clients.filter_map(Result::ok).collect()
-}
-
-async fn notify(context: &Context, client: &Client, update: PeerUpdate) {
-    for _ in 0..MAX_ATTEMPTS {
-        let result: Result<(), _> = match update {
-            PeerUpdate::Charge(charge) => client.call(CHARGE, &charge).await,
-            PeerUpdate::Lift(lift) => client.call(LIFT, &lift).await,
+/// Sends the update to the first address of `route` that accepts it.
+async fn notify(context: &Context, secret: &Secret, route: Vec<SocketAddr>, update: PeerUpdate) {
+    for address in route {
+        let Ok(client) = Client::new(address, secret, CALL_TIMEOUT) else {
+            continue;
+        };
+        let result: Result<(), _> = match &update {
+            PeerUpdate::Charge(charges) => client.call(CHARGE, charges).await,
+            PeerUpdate::Lift(lift) => client.call(LIFT, lift).await,
         };
         if result.is_ok() {
             return;
         }
     }
-    // An unreachable peer still charges requests by its own observations.
+    // The local charges remain, and other VMs charge requests by their own observations.
     context.metrics.count("poison_untold", 1);
 }
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -1,8 +1,9 @@
 //! Cut connections that may indicate a lost upstream, and requests charged with losses.
 
 use {
+    super::messages::Process,
     crate::{clock::Micros, ledger::Fingerprint, sorted::Sorted},
-    std::{collections::VecDeque, net::SocketAddr},
+    std::collections::VecDeque,
 };
 
 /// Connection that was cut after a request was written to it.
@@ -10,8 +11,8 @@
 pub struct Cut {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// Address of the upstream.
-    pub address: SocketAddr,
+    /// Process of the upstream.
+    pub process: Process,
     /// Time of the cut.
     pub at: Micros,
 }
@@ -19,8 +20,8 @@
 /// Losses that a request is charged with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChargeRecord {
-    /// Lost upstreams and the time at which each loss was charged.
-    pub losses: Vec<(SocketAddr, Micros)>,
+    /// Lost processes and the time at which each loss was charged.
+    pub losses: Vec<(Process, Micros)>,
     /// Time at which the charges expire.
     pub until: Micros,
 }
@@ -32,4 +33,8 @@
     pub cuts: VecDeque<Cut>,
     /// Charges by fingerprint of the request.
     pub charges: Sorted<Fingerprint, ChargeRecord>,
+    /// Requests that the control VMs hold charges of, in ascending order. These do not expire here.
+    pub replicated: Vec<Fingerprint>,
+    /// Revision of the catalogue from which these were read.
+    pub revision: u64,
 }
--- a/src/poison/thread.rs
+++ b/src/poison/thread.rs
@@ -3,19 +3,19 @@
 use {
     super::{
         decide,
-        guard::Verdicts,
-        messages::{Charge, Lift, Message},
-        send::{self, PeerUpdate},
+        messages::{Charge, Charges, Lift, Message, Process},
+        monitor::Verdicts,
+        send::{self, PeerUpdate, Recipients},
         settings::Settings,
         state::State,
     },
     crate::{
+        catalog::Catalog,
         clock::Micros,
         context::Context,
         duty,
         edge::Secret,
         ledger::Fingerprint,
-        membership::messages::MembersReceiver,
         observe::{Event, report},
         ring::{self, AsyncSender, Ring, Wait},
     },
@@ -42,8 +42,8 @@
 pub struct Dependencies {
     /// Secret of the peer listeners.
     pub secret: Secret,
-    /// Latest members.
-    pub members: MembersReceiver,
+    /// Peers that receive charges and lifts.
+    pub recipients: Recipients,
 }
 
 /// Starts the duty and the thread that notifies its peers. Both exit when `stops` close.
@@ -60,14 +60,15 @@
 ) -> io::Result<[JoinHandle<()>; 2]> {
     let (updates, receiver) = ring::bounded_async(MAX_QUEUED_UPDATES);
     let [stop_send, stop] = stops;
-    let Dependencies { secret, members } = deps;
-    let sending = send::spawn(context.clone(), members, secret, receiver, stop_send)?;
+    let Dependencies { secret, recipients } = deps;
+    let sending = send::spawn(context.clone(), recipients, secret, receiver, stop_send)?;
     let duty = Duty {
         context,
         settings,
         updates,
         verdicts,
         state: State::default(),
+        catalog: None,
         last_probe: Micros(0),
         stop,
     };
@@ -81,6 +82,8 @@
     updates: AsyncSender<PeerUpdate>,
     verdicts: watch::Sender<Arc<Verdicts>>,
     state: State,
+    /// Latest catalogue, where one is followed.
+    catalog: Option<Arc<Catalog>>,
     last_probe: Micros,
     // Needed because admin and peer listeners hold senders of the ring until after shutdown of the
     // request path.
@@ -110,31 +113,62 @@
         match message {
             Message::Cut {
                 fingerprint,
-                address,
-            } => self.cut(fingerprint, address),
+                process,
+            } => self.cut(fingerprint, process),
+            Message::Lost(address) => self.lost(address),
             Message::Responded(fingerprint) => {
                 // A request that an upstream served is not the one that crashed others.
                 let lift = Lift {
                     fingerprint: Some(fingerprint),
+                    base: None,
                 };
                 self.lift(lift, true);
             }
-            Message::Charged(charge) => {
-                decide::charge(&mut self.state, &self.settings, charge, now);
+            Message::Charged(charges) => {
+                for charge in charges {
+                    decide::charge(&mut self.state, &self.settings, charge, now);
+                }
                 self.publish();
             }
+            Message::Catalog(catalog) => self.follow(&catalog),
             Message::Lift { lift, notify_peers } => self.lift(lift, notify_peers),
             Message::Read(reply) => reply(decide::list(&self.state, &self.settings, now)),
         }
     }
 
-    fn cut(&mut self, fingerprint: Fingerprint, address: SocketAddr) {
+    fn cut(&mut self, fingerprint: Fingerprint, process: Process) {
         let now = self.context.clock.now();
-        let charges = decide::cut(&mut self.state, &self.settings, fingerprint, address, now);
-        if charges.is_empty() && is_refused(address) {
-            return self.lost(address);
+        let charges = decide::cut(&mut self.state, &self.settings, fingerprint, process, now);
+        if charges.is_empty() && self.settings.probes && is_refused(process.address) {
+            return self.lost(process.address);
         }
-        self.charge(&charges);
+        self.charge(charges);
+    }
+
+    /// Takes over the charges of a newer catalogue.
+    fn follow(&mut self, catalog: &Arc<Catalog>) {
+        let known = self.catalog.replace(Arc::clone(catalog));
+        if known.is_some_and(|known| known.charges == catalog.charges) {
+            self.state.revision = catalog.revision;
+            return;
+        }
+        let rows = catalog.charges.rows().iter();
+        let rows: Vec<(Fingerprint, Vec<Process>)> = rows
+            .filter_map(|row| Some((Fingerprint::parse(&row.name)?, row.value.clone())))
+            .collect();
+        let now = self.context.clock.now();
+        let replicated = (catalog.revision, &*rows);
+        decide::replicate(&mut self.state, &self.settings, replicated, now);
+        self.publish();
+    }
+
+    /// Whether the upstream at this address ends on order: it is leaving, or has left.
+    fn is_leaving(&self, address: SocketAddr) -> bool {
+        self.catalog.as_ref().is_some_and(|catalog| {
+            let mut rows = catalog.upstreams.rows().iter();
+            let row = rows.find(|row| row.value.address == address);
+            row.is_none_or(|row| row.value.leaving)
+        })
     }
 
     /// Removes expired entries and probes upstreams with a cut connection, as a crashing process
@@ -150,8 +184,15 @@
         if self.state.charges.len() < charges {
             self.publish();
         }
-        let mut addresses: Vec<SocketAddr> =
-            self.state.cuts.iter().map(|cut| cut.address).collect();
+        if !self.settings.probes {
+            return;
+        }
+        let mut addresses: Vec<SocketAddr> = self
+            .state
+            .cuts
+            .iter()
+            .map(|cut| cut.process.address)
+            .collect();
         addresses.sort_unstable();
         addresses.dedup();
         for address in addresses.into_iter().filter(|at| is_refused(*at)) {
@@ -160,12 +201,15 @@
     }
 
     fn lost(&mut self, address: SocketAddr) {
+        if self.is_leaving(address) {
+            return decide::forget_cuts(&mut self.state, address);
+        }
         let now = self.context.clock.now();
         let charges = decide::lost(&mut self.state, &self.settings, address, now);
-        self.charge(&charges);
+        self.charge(charges);
     }
 
-    fn charge(&mut self, charges: &[Charge]) {
+    fn charge(&mut self, charges: Vec<Charge>) {
         let Some(first) = charges.first() else {
             return;
         };
@@ -176,14 +220,17 @@
         self.context.metrics.count("upstreams_lost", 1);
         // Publishes the local verdicts before the peers are notified.
         self.publish();
-        for charge in charges {
-            if self.updates.offer(PeerUpdate::Charge(*charge)).is_err() {
-                self.context.metrics.count("poison_untold", 1);
-            }
+        let update = PeerUpdate::Charge(Charges { charges });
+        if self.updates.offer(update).is_err() {
+            self.context.metrics.count("poison_untold", 1);
         }
     }
 
     fn lift(&mut self, lift: Lift, notify_peers: bool) {
+        let lift = Lift {
+            base: self.catalog.is_some().then_some(self.state.revision),
+            ..lift
+        };
         if decide::lift(&mut self.state, lift) {
             report(Event::POISON_LIFTED, format_args!("{:?}", lift.fingerprint));
             self.publish();
@@ -204,10 +251,7 @@
         let previous = Arc::clone(&self.verdicts.borrow());
         for fingerprint in &verdicts.poisoned {
             if previous.poisoned.binary_search(fingerprint).is_err() {
-                report(
-                    Event::POISONED,
-                    format_args!("{:016x}{:016x}", fingerprint.0, fingerprint.1),
-                );
+                report(Event::POISONED, format_args!("{}", fingerprint.hex()));
             }
         }
         self.context
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -177,6 +177,12 @@
         }
     }
 
+    /// Whether any idle connection to `address` is open and quiet.
+    pub(crate) fn has_open(&self, address: SocketAddr) -> bool {
+        let idle = self.idle.get(&address);
+        idle.is_some_and(|idle| idle.iter().any(|row| row.connection.is_reusable()))
+    }
+
     /// Closes the idle connections to `address`, such as when one of them has stopped responding.
     pub(crate) fn retire(&mut self, address: SocketAddr) {
         self.idle.remove(&address);
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -55,8 +55,10 @@
         let (stop, stopped) = oneshot::channel();
         let guard = poison::Guard {
             topology: Arc::default(),
-            verdicts: watch::channel(Arc::default()).1,
-            ring: ring::bounded(64).0,
+            monitor: poison::Monitor {
+                verdicts: watch::channel(Arc::default()).1,
+                ring: ring::bounded(64).0,
+            },
         };
         spawn(&context, settings, receiver, slots, guard, stopped).unwrap();
         Self {
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -175,6 +175,7 @@
         in_flight: key,
         address: row.address,
         id: Arc::clone(&row.id),
+        born: row.born,
         deadline: in_flight.deadline,
         basis,
     });
@@ -383,7 +384,8 @@
         Ran::No
     };
     let service = Arc::clone(&in_flight.service);
-    let is_over = now >= in_flight.deadline || matches!(reason, Reason::Cancelled);
+    let is_over =
+        now >= in_flight.deadline || matches!(reason, Reason::Cancelled | Reason::Poisoned);
     if is_over || !is_safe || !has_attempts_left {
         return refuse(state, key, reason, ran, random, now);
     }
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -187,6 +187,8 @@
         in_flight: InFlightKey,
         address: SocketAddr,
         id: Arc<str>,
+        /// Incarnation of the upstream.
+        born: u64,
         deadline: Micros,
         /// Basis of the choice, for the log.
         basis: Basis,
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -18,12 +18,16 @@
         duty,
         keys::InFlightKey,
         observe::{Event, report, report_with},
+        poison::{Monitor, fingerprint},
         ring::{AsyncSender, Ring, Wait},
     },
     slotmap::SecondaryMap,
     std::{io, sync::Arc, thread::JoinHandle, time::Duration},
 };
 
+/// Milliseconds after which the caller of a refused poison request may retry: at once would not help, as the
+/// verdict holds until the upstreams are fixed.
+const POISON_RETRY_MS: u32 = 30_000;
 /// Maximum wait without a message, so that pacing windows end.
 const MAX_WAIT: Duration = Duration::from_millis(500);
 
@@ -37,6 +41,8 @@
     pub zones: Vec<(String, String)>,
     /// Ring to the courier duty, which makes the attempts.
     pub courier: AsyncSender<Dispatch>,
+    /// Requests that are refused since they have crashed upstreams.
+    pub monitor: Monitor,
 }
 
 impl std::fmt::Debug for Dependencies {
@@ -58,6 +64,7 @@
 struct Duty {
     context: Context,
     courier: AsyncSender<Dispatch>,
+    monitor: Monitor,
     state: State,
     pending: SecondaryMap<InFlightKey, PendingRequest>,
     /// Requests whose attempt was not sent because the courier's ring was full.
@@ -77,6 +84,7 @@
     let duty = Duty {
         context: deps.context,
         courier: deps.courier,
+        monitor: deps.monitor,
         state,
         pending: SecondaryMap::default(),
         unsent: Vec::new(),
@@ -129,7 +137,15 @@
             timeout_ms: request.timeout_ms,
             random: rand::random(),
         };
-        match decide::admit(&mut self.state, &head, now) {
+        let admitted = if self.is_poisoned(&request.payload) {
+            Err(Refusal {
+                retry_ms: POISON_RETRY_MS,
+                ..Refusal::not_run(Reason::Poisoned)
+            })
+        } else {
+            decide::admit(&mut self.state, &head, now)
+        };
+        match admitted {
             Ok((key, _route)) => {
                 let pending = PendingRequest {
                     name: request.name,
@@ -161,6 +177,10 @@
         }
     }
 
+    fn is_poisoned(&self, payload: &Payload) -> bool {
+        self.monitor.is_poisoned(|| fingerprint(payload))
+    }
+
     fn finish_attempt(&mut self, done: Report) {
         let now = self.context.clock.now();
         if let Ended::Failed { reason, ran, .. } = done.ended
@@ -244,13 +264,7 @@
             let Some(key) = self.unsent.pop() else {
                 return;
             };
-            let failed = Ended::Failed {
-                reason: Reason::RingFull,
-                ran: crate::call::Ran::No,
-                load: None,
-            };
-            let now = self.context.clock.now();
-            decide::finish_attempt(&mut self.state, key, failed, 0, rand::random(), now);
+            self.fail_unsent(key, Reason::RingFull);
         }
     }
 
@@ -260,6 +274,7 @@
                 in_flight,
                 address,
                 id,
+                born,
                 deadline,
                 basis,
             } => {
@@ -270,6 +285,11 @@
                     self.cancel(in_flight);
                     return;
                 }
+                // It may have become one while it waited, or with its last attempt.
+                if self.monitor.is_poisoned(|| fingerprint(&pending.payload)) {
+                    self.fail_unsent(in_flight, Reason::Poisoned);
+                    return;
+                }
                 pending.upstream = Arc::clone(&id);
                 report_with(
                     Event::PLACED,
@@ -290,7 +310,7 @@
                 );
                 let dispatch = Dispatch {
                     in_flight,
-                    target: Target { address, id },
+                    target: Target { address, id, born },
                     until: deadline,
                     payload: Arc::clone(&pending.payload),
                     cancel: pending.cancel.clone(),
@@ -315,15 +335,20 @@
 
     /// Ends a request whose caller disconnected before it was sent.
     fn cancel(&mut self, in_flight: InFlightKey) {
+        self.fail_unsent(in_flight, Reason::Cancelled);
+        decide::discard(&mut self.state, in_flight);
+        self.pending.remove(in_flight);
+    }
+
+    /// Ends an attempt that was not sent.
+    fn fail_unsent(&mut self, in_flight: InFlightKey, reason: Reason) {
         let now = self.context.clock.now();
-        let cancelled = Ended::Failed {
-            reason: Reason::Cancelled,
+        let failed = Ended::Failed {
+            reason,
             ran: crate::call::Ran::No,
             load: None,
         };
-        decide::finish_attempt(&mut self.state, in_flight, cancelled, 0, 0, now);
-        decide::discard(&mut self.state, in_flight);
-        self.pending.remove(in_flight);
+        decide::finish_attempt(&mut self.state, in_flight, failed, 0, rand::random(), now);
     }
 
     fn refuse(&mut self, in_flight: InFlightKey, refusal: Refusal) {
