--- a/src/steer/budget.rs
+++ b/src/steer/budget.rs
@@ -4,6 +4,10 @@
 //! then, but in addition to a full load they would aggravate the overload. The bound applies to any window of
 //! the configured length over all entry VMs: each VM enforces its share in the same window, so the sum stays
 //! within the bound without coordination.
+//!
+//! The share that requests earn needs no knowledge of other VMs. The fixed slack is divided among them, so a VM
+//! must not use a larger part than its own: not in its first window, in which its previous incarnation may have
+//! used that part and it may not know the others yet, and not while others that it no longer sees may use theirs.
 
 use crate::clock::Micros;
 
@@ -73,6 +77,44 @@
     }
 }
 
+/// The part of the fixed slack that this VM may use.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SlackShare {
+    window_ms: u64,
+    /// Start of this incarnation.
+    started: Micros,
+    /// Highest number of entry VMs within the last window, and when it was last seen.
+    entries: (u32, Micros),
+}
+
+impl SlackShare {
+    /// The share of a VM that starts at `started`.
+    pub(super) fn new(window_ms: u64, started: Micros) -> Self {
+        Self {
+            window_ms,
+            started,
+            entries: (1, started),
+        }
+    }
+
+    /// Records the number of entry VMs that serve.
+    pub(super) fn record_entries(&mut self, count: u32, now: Micros) {
+        let (highest, seen) = self.entries;
+        if count >= highest || now >= seen.plus_millis(self.window_ms) {
+            self.entries = (count.max(1), now);
+        }
+    }
+
+    /// Retries of the fleet's `slack` that this VM may use in a window.
+    #[allow(clippy::cast_precision_loss, reason = "far below 2^53")]
+    pub(super) fn of(&self, slack: u64, now: Micros) -> f64 {
+        if now < self.started.plus_millis(self.window_ms) {
+            return 0.0;
+        }
+        slack as f64 / f64::from(self.entries.0)
+    }
+}
+
 fn index(number: u64) -> usize {
     usize::try_from(number % BUCKETS_KEPT).unwrap_or_default()
 }
--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -40,6 +40,8 @@
         entry_vms.insert(zone.clone(), *count);
     }
     state.entry_vms = entry_vms;
+    let count = state.entry_count();
+    state.slack_share.record_entries(count, now);
     apply_services(state, catalog);
     let removed: Vec<(Arc<str>, UpstreamKey)> = state
         .ids
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -366,7 +366,6 @@
 }
 
 /// Retries a request if that is safe and within its limits; refuses it otherwise.
-#[allow(clippy::cast_precision_loss, reason = "far below 2^53")]
 fn retry(state: &mut State, key: InFlightKey, reason: Reason, ran: Ran, random: u64, now: Micros) {
     let Some(in_flight) = state.in_flight.get_mut(key) else {
         return;
@@ -391,7 +390,7 @@
     }
     if reached_upstream {
         let permille = state.settings.retry_permille;
-        let slack = state.settings.retry_slack as f64 / f64::from(state.entry_count());
+        let slack = state.slack_share.of(state.settings.retry_slack, now);
         let Some(pool) = state.pools.get_mut(&service) else {
             return refuse(state, key, reason, ran, random, now);
         };
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -1,7 +1,12 @@
 //! State of the steer duty: upstreams, services and requests in progress.
 
 use {
-    super::{budget::RetryBudget, locality::Locality, pacing::RegionPacer, settings::Settings},
+    super::{
+        budget::{RetryBudget, SlackShare},
+        locality::Locality,
+        pacing::RegionPacer,
+        settings::Settings,
+    },
     crate::{
         call::{Reason, Refusal},
         catalog::{Route, Service},
@@ -236,6 +241,8 @@
     /// Current weights of the smooth weighted round-robin, by route and service.
     pub(super) splits: Sorted<Arc<str>, Vec<i64>>,
     pub(super) in_flight: SlotMap<InFlightKey, InFlight>,
+    /// Part of the fixed retry slack that this VM may use.
+    pub(super) slack_share: SlackShare,
     /// Time after a start from which the other entry VMs are known.
     pub(super) discovery_end: Micros,
     /// Number of serving entry VMs by zone.
@@ -246,13 +253,19 @@
 }
 
 impl State {
-    pub(super) fn new(settings: Settings, zone: &str, zones: &[(String, String)]) -> Self {
+    pub(super) fn new(
+        settings: Settings,
+        zone: &str,
+        zones: &[(String, String)],
+        started: Micros,
+    ) -> Self {
         let mut regions: Sorted<String, Arc<str>> = Sorted::default();
         for (name, region) in zones {
             regions.insert(name.clone(), region.as_str().into());
         }
         let region = regions.get(zone).cloned().unwrap_or_else(|| "".into());
         Self {
+            slack_share: SlackShare::new(settings.retry_ms, started),
             settings,
             zone: zone.into(),
             region,
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -56,7 +56,7 @@
             catalog.upstreams.put(id, row.clone(), 1);
         }
         let mut world = Self {
-            state: State::new(Settings::default(), "a", &zones),
+            state: State::new(Settings::default(), "a", &zones, Micros(0)),
             catalog,
             zones: vec![("a".to_owned(), 2), ("c".to_owned(), 2)],
             now: NOW,
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -80,7 +80,7 @@
     deps: Dependencies,
     ring: Ring<Message>,
 ) -> io::Result<JoinHandle<()>> {
-    let state = State::new(settings, &deps.zone, &deps.zones);
+    let state = State::new(settings, &deps.zone, &deps.zones, deps.context.clock.now());
     let duty = Duty {
         context: deps.context,
         courier: deps.courier,
