End a planned stop of an entry VM

Operators saw: an entry VM that gets SIGTERM is still there at the end of its grace period and is killed.

Cause: the handler of the readiness listener held a sender of steer's ring, and the gateway joins steer before that listener is joined.

Change: the handler holds Readiness, which keeps no duty running.

Evidence: each_program_ends_within_its_grace_period_and_cuts_off_no_caller failed before ('still there after their grace period', two of two entry VMs) and passes.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,5 +9,5 @@
 
 pub use {
     settings::Settings,
-    wiring::{Gateway, GatewayHandle, StartError},
+    wiring::{Gateway, GatewayHandle, Readiness, StartError},
 };
--- a/src/gateway/wiring.rs
+++ b/src/gateway/wiring.rs
@@ -47,17 +47,25 @@
     },
 }
 
-/// Handle by which a front end for callers uses a running gateway.
+/// Handle by which a front end for callers uses a running gateway. The steer duty runs as long as one exists, so
+/// it is held only by listeners that are joined before the duty.
 #[derive(Clone, Debug)]
 pub struct GatewayHandle {
     /// Context of this VM.
     pub context: Context,
     /// Ring of the steer duty, which accepts requests.
     pub steer: Sender<steer::Message>,
+    readiness: Readiness,
+}
+
+/// Whether a gateway accepts callers. Keeps no duty running.
+#[derive(Clone, Debug)]
+pub struct Readiness {
+    context: Context,
     has_configuration: Arc<AtomicBool>,
 }
 
-impl GatewayHandle {
+impl Readiness {
     /// Whether this VM accepts callers: it has received a configuration and is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -100,7 +108,10 @@
         let handle = GatewayHandle {
             context: context.clone(),
             steer: steer.clone(),
-            has_configuration: Arc::default(),
+            readiness: Readiness {
+                context: context.clone(),
+                has_configuration: Arc::default(),
+            },
         };
         let (control_tx, control) = watch::channel(settings.catalog.control.clone());
         let (monitor, poison_stops, poison_threads) =
@@ -192,10 +203,16 @@
         })
     }
 
-    /// Returns a handle for a front end.
+    /// Returns the readiness of this gateway, for listeners that outlive it.
+    #[must_use]
+    pub fn readiness(&self) -> Readiness {
+        self.handle.readiness.clone()
+    }
+
+    /// Returns the context of this VM.
     #[must_use]
-    pub fn handle(&self) -> GatewayHandle {
-        self.handle.clone()
+    pub fn context(&self) -> Context {
+        self.handle.context.clone()
     }
 
     /// Returns the bound address of the listener for callers.
@@ -319,7 +336,8 @@
         });
         let _ = beacon.send(send::Message::Control(control.collect()));
         let has_version = view.catalog.version > 0;
-        if has_version && !handle.has_configuration.swap(true, Ordering::SeqCst) {
+        let has_configuration = &handle.readiness.has_configuration;
+        if has_version && !has_configuration.swap(true, Ordering::SeqCst) {
             let _ = beacon.send(send::Message::Ready(true));
         }
     }
