Reset the connection of a request that is given up

Cause: an attempt that is given up closed its connection in order, and the kernel delivers the bytes that a cut held up, with the end behind them, when the cut ends.

Change: a connection dropped before its response was read completely is reset, on all ways that use the pool, without a FIN before it. One whose response is complete is closed in order.

--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -124,6 +124,7 @@
         Ok(body) => body,
         Err(error) => return body_failure(&head, error),
     };
+    connection.mark_complete();
     if let Some(name) = name {
         if matches!(head.meaning, Meaning::NotRun | Meaning::Misdirected) {
             connection.record_rejection(name);
--- a/src/courier/tests.rs
+++ b/src/courier/tests.rs
@@ -13,7 +13,7 @@
     http_body_util::Full,
     hyper::{Request, header::HeaderValue},
     std::{
-        io::{Read, Write},
+        io::{ErrorKind, Read, Write},
         net::{SocketAddr, TcpListener},
         sync::{
             Arc,
@@ -470,3 +470,38 @@
         assert_eq!(lost, crashes);
     }
 }
+
+/// Guards against a request that was given up and is delivered when a partition ends: closed in order, the
+/// connection leaves the request's bytes in the kernel. The upstream sees a reset in place of an end, and an end
+/// after a complete response.
+#[test]
+fn the_connection_of_a_request_that_was_given_up_is_reset() {
+    for responds in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, ends) = mpsc::channel();
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut buffer = [0; 2_048];
+            let _ = stream.read(&mut buffer).unwrap();
+            if responds {
+                let closing = VALID_RESPONSE.replacen("id: 7", "id: 7\r\nconnection: close", 1);
+                stream.write_all(closing.as_bytes()).unwrap();
+            }
+            let end = stream.read(&mut buffer).map_err(|error| error.kind());
+            // The test may be over.
+            let _ = sender.send(end);
+        });
+        let world = World::new();
+        let _guard = world.send_for(address, if responds { BUDGET_MS } else { 200 });
+        let answered = matches!(world.next_report().ended, Ended::Answered { .. });
+        assert_eq!(answered, responds);
+        let end = ends.recv_timeout(Duration::from_mins(1)).unwrap();
+        let expected = if responds {
+            Ok(0)
+        } else {
+            Err(ErrorKind::ConnectionReset)
+        };
+        assert_eq!(end, expected);
+    }
+}
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -42,6 +42,18 @@
     stream: SharedStream,
     /// Hashed names of the requests that the peer rejected on it.
     rejected: Vec<u64>,
+    /// Whether a request was sent whose response has not been read completely.
+    is_awaiting: bool,
+}
+
+impl Drop for Connection {
+    /// Resets the connection of a request that is given up. A close in order would leave its bytes in the
+    /// kernel, which delivers them when a partition ends: the peer would run the request long after that.
+    fn drop(&mut self) {
+        if self.is_awaiting {
+            self.stream.reset_on_close();
+        }
+    }
 }
 
 impl Connection {
@@ -53,9 +65,15 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.is_awaiting = true;
         self.sender.try_send_request(request).await
     }
 
+    /// Records that the response was read completely.
+    pub(crate) fn mark_complete(&mut self) {
+        self.is_awaiting = false;
+    }
+
     /// Whether it can be sent a request: it is open, its last response was read completely, and the
     /// peer has sent nothing since. Bytes that no request asked for would be read as the next
     /// response.
@@ -154,10 +172,11 @@
     pub(super) fn keep_named(
         &mut self,
         address: SocketAddr,
-        connection: Connection,
+        mut connection: Connection,
         named: bool,
         max: usize,
     ) {
+        connection.mark_complete();
         if connection.rejected.len() >= MAX_REJECTIONS {
             return;
         }
@@ -230,5 +249,6 @@
         sender,
         stream,
         rejected: Vec::new(),
+        is_awaiting: false,
     })
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -3,12 +3,14 @@
 use {
     socket2::SockRef,
     std::{
+        cell::Cell,
         io::{self, ErrorKind, IoSlice},
         mem::MaybeUninit,
         net::Shutdown,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -18,20 +20,35 @@
 
 /// A TCP stream; clones share the socket.
 #[derive(Clone, Debug)]
-pub(super) struct SharedStream(Rc<TcpStream>);
+pub(super) struct SharedStream {
+    stream: Rc<TcpStream>,
+    /// Whether the connection is reset when it is closed.
+    resets: Rc<Cell<bool>>,
+}
 
 impl SharedStream {
     pub(super) fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(stream))
+        Self {
+            stream: Rc::new(stream),
+            resets: Rc::default(),
+        }
     }
 
     /// Whether the peer has neither sent bytes that are still unread nor closed the connection.
     /// Asks the kernel, as the runtime learns of new bytes only when it polls the socket.
     pub(super) fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.0).peek(&mut byte);
+        let peeked = SockRef::from(&*self.stream).peek(&mut byte);
         peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
+
+    /// Makes the kernel reset the connection when it is closed, and discard bytes that the peer has not
+    /// acknowledged.
+    pub(super) fn reset_on_close(&self) {
+        self.resets.set(true);
+        // Without the option, the connection is closed in order.
+        let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+    }
 }
 
 /// Repeats `attempt` until it does not block; `ready` waits for the socket between two attempts.
@@ -55,8 +72,8 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let read = poll_io(
-            || self.0.poll_read_ready(cx),
-            || self.0.try_read(buf.initialize_unfilled()),
+            || self.stream.poll_read_ready(cx),
+            || self.stream.try_read(buf.initialize_unfilled()),
         );
         read.map_ok(|length| buf.advance(length))
     }
@@ -68,7 +85,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        poll_io(|| self.0.poll_write_ready(cx), || self.0.try_write(buf))
+        poll_io(
+            || self.stream.poll_write_ready(cx),
+            || self.stream.try_write(buf),
+        )
     }
 
     fn poll_write_vectored(
@@ -77,8 +97,8 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         poll_io(
-            || self.0.poll_write_ready(cx),
-            || self.0.try_write_vectored(bufs),
+            || self.stream.poll_write_ready(cx),
+            || self.stream.try_write_vectored(bufs),
         )
     }
 
@@ -91,6 +111,10 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        if self.resets.get() {
+            // The end of the stream would be delivered before the reset.
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
