Renew the slow start of an upstream with each cause

Cause: a slow start began only if none was active, and a report with a new cold time was dropped while the row was marked cold.

Change: each cause extends the slow start; control VMs pass on a cold time that ends later than that of the last report; a VM that starts treats upstreams of zones that were evacuated as cold once.

--- a/src/catalog/last_reports.rs
+++ b/src/catalog/last_reports.rs
@@ -5,10 +5,13 @@
     crate::sorted::Sorted,
     std::{
         sync::{Arc, Mutex, PoisonError},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
+/// Difference by which the end of a slow start varies between reports, as their delays vary.
+const JITTER: Duration = Duration::from_millis(300);
+
 /// Incarnation and time of the last report, by name of the upstream.
 type Rows = Sorted<String, (u64, Instant)>;
 
@@ -21,6 +24,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     rows: Rows,
+    /// Incarnation and end of the slow start of upstreams, by the last report here.
+    cold: Sorted<String, (u64, Instant)>,
     /// Name and incarnation of upstreams that reported here and are not yet forwarded.
     unsent: Vec<(String, u64)>,
 }
@@ -66,6 +71,32 @@
         }
     }
 
+    /// Records the remaining slow start in a report that this control VM received. Returns whether it ends later
+    /// than that of the last report: the upstream has become cold again.
+    ///
+    /// ```
+    /// let reports = siskinstep::catalog::last_reports::LastReports::default();
+    /// let now = std::time::Instant::now();
+    /// assert!(reports.record_cold("u-1", 7, 3_000, now));
+    /// assert!(!reports.record_cold("u-1", 7, 2_900, now));
+    /// assert!(reports.record_cold("u-1", 7, 5_000, now));
+    /// ```
+    #[must_use]
+    pub fn record_cold(&self, id: &str, born: u64, cold_ms: u64, now: Instant) -> bool {
+        let mut inner = self.lock();
+        if cold_ms == 0 {
+            inner.cold.remove(id);
+            return false;
+        }
+        let until = now + Duration::from_millis(cold_ms);
+        let known = inner.cold.get(id);
+        let is_renewed = known.is_none_or(|(other, end)| *other != born || until > *end + JITTER);
+        if is_renewed {
+            inner.cold.insert(id.to_owned(), (born, until));
+        }
+        is_renewed
+    }
+
     /// Records reports that another control VM received: name and incarnation of each upstream.
     pub fn record_all(&self, rows: Vec<(String, u64)>) {
         let mut inner = self.lock();
@@ -103,6 +134,9 @@
     /// Removes the entries for which `keep`, given the name and the time of the last report,
     /// returns false.
     pub fn retain(&self, keep: impl Fn(&str, Instant) -> bool) {
-        self.lock().rows.retain(|id, (_, at)| keep(id, *at));
+        let mut inner = self.lock();
+        inner.rows.retain(|id, (_, at)| keep(id, *at));
+        let now = Instant::now();
+        inner.cold.retain(|_, (_, until)| now < *until);
     }
 }
--- a/src/catalog/serve.rs
+++ b/src/catalog/serve.rs
@@ -3,7 +3,9 @@
 
 use {
     super::{
+        decide::{has_changes, is_stale},
         last_reports::LastReports,
+        messages::Upstream,
         pages::{self, EncodedPage, PAGE_METHOD, Page, PageRequest, Standing, Want},
         state::Delta,
     },
@@ -16,7 +18,11 @@
     },
     jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{sync::watch, time},
 };
 
@@ -85,6 +91,20 @@
     pub ring: Sender<Message>,
 }
 
+impl Source {
+    /// Records a report that this control VM received. Returns whether it must go through the log: it changes what
+    /// entry VMs act on.
+    #[must_use]
+    pub fn record_report(&self, id: &str, upstream: &Upstream) -> bool {
+        self.last_reports.record(id, upstream.born);
+        let (born, cold_ms) = (upstream.born, upstream.cold_ms);
+        let now = Instant::now();
+        let is_cold_again = self.last_reports.record_cold(id, born, cold_ms, now);
+        let catalog = Arc::clone(&self.policies.borrow().catalog);
+        has_changes(&catalog, id, upstream) || (is_cold_again && !is_stale(&catalog, id, upstream))
+    }
+}
+
 /// Adds the methods to the module of a peer listener.
 ///
 /// # Errors
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -66,6 +66,19 @@
         Some(&self.rows[at].value)
     }
 
+    /// Whether a row of that name was removed and has not been inserted since, as far as removals are retained.
+    ///
+    /// ```
+    /// let mut table = siskinstep::catalog::Table::default();
+    /// table.put("a", 7, 1);
+    /// table.remove("a", 2);
+    /// assert!(table.was_removed("a"));
+    /// ```
+    #[must_use]
+    pub fn was_removed(&self, name: &str) -> bool {
+        self.gone.iter().any(|(_, removed)| removed == name)
+    }
+
     /// Rows in ascending order of name.
     #[must_use]
     pub fn rows(&self) -> &[Row<T>] {
--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -6,10 +6,7 @@
         locality::Locality,
         pacing::RegionPacer,
         settings::Settings,
-        state::{
-            AverageLoad, DISTANCES, MAX_PREFERRED, Pool, Rate, ReportedLoad, SlowStart, State,
-            Upstream,
-        },
+        state::{AverageLoad, DISTANCES, MAX_PREFERRED, Pool, Rate, ReportedLoad, State, Upstream},
     },
     crate::{
         catalog::{self, Service, follow::CatalogView},
@@ -30,7 +27,8 @@
 /// Replaces routes and entry VM counts, and updates services and upstreams to match the catalogue.
 pub(super) fn apply(state: &mut State, followed: &CatalogView, now: Micros) {
     let catalog = &followed.catalog;
-    if state.version == 0 {
+    let is_first = state.version == 0;
+    if is_first {
         state.discovery_end = now.plus_millis(ENTRY_DISCOVERY_MS);
     }
     state.version = catalog.version;
@@ -55,8 +53,13 @@
         state.upstreams.remove(key);
     }
     for row in catalog.upstreams.rows() {
-        let evacuated = catalog.emptied.get(&row.value.zone).is_some();
-        apply_upstream(state, &row.name, &row.value, evacuated, now);
+        let zone = &row.value.zone;
+        let evacuation = Evacuation {
+            is_on: catalog.emptied.get(zone).is_some(),
+            // This VM may have started right after it was taken back.
+            was_on: is_first && catalog.emptied.was_removed(zone),
+        };
+        apply_upstream(state, &row.name, &row.value, evacuation, now);
     }
     let mut pools = std::mem::take(&mut state.pools);
     pools.retain(|name, pool| {
@@ -101,14 +104,23 @@
     }
 }
 
+/// State of the evacuation of an upstream's zone.
+#[derive(Clone, Copy, Debug)]
+struct Evacuation {
+    is_on: bool,
+    /// Whether it may have been taken back a moment ago.
+    was_on: bool,
+}
+
 fn apply_upstream(
     state: &mut State,
     id: &str,
     row: &catalog::Upstream,
-    evacuated: bool,
+    evacuation: Evacuation,
     now: Micros,
 ) {
-    let eligible = !row.leaving && !evacuated;
+    let was_evacuated = evacuation.was_on;
+    let eligible = !row.leaving && !evacuation.is_on;
     let cold_ms = {
         let service = state.pools.get(row.service.as_str());
         let full_ms = service.map_or(0, |pool| pool.service.cold_ms);
@@ -121,19 +133,19 @@
         && existing.address == row.address
         && *existing.service == *row.service
     {
-        // After an evacuation of its zone, the upstream's caches may be cold.
-        let remaining_ms = if !existing.eligible && eligible {
-            cold_ms.1
+        // After an evacuation of its zone, the upstream's caches may be cold, also where a slow start is active.
+        let is_readmitted = !existing.eligible && eligible;
+        let readmitted_ms = if is_readmitted { cold_ms.1 } else { 0 };
+        let renewed_ms = if existing.seq == row.seq {
+            0
         } else {
             row.cold_ms
         };
-        if remaining_ms > 0 && existing.slow_start.is_none_or(|row| now >= row.until) {
-            existing.slow_start = Some(SlowStart {
-                until: now.plus_millis(remaining_ms),
-                tokens: 0.0,
-                updated: now,
-            });
+        let remaining_ms = readmitted_ms.max(renewed_ms);
+        if remaining_ms > 0 {
+            existing.extend_slow_start(remaining_ms, now);
         }
+        existing.seq = row.seq;
         existing.eligible = eligible;
         existing.slots = row.slots;
         return;
@@ -147,7 +159,7 @@
         2
     };
     let id: Arc<str> = id.into();
-    let upstream = Upstream {
+    let mut upstream = Upstream {
         id: Arc::clone(&id),
         service: row.service.as_str().into(),
         zone: row.zone.as_str().into(),
@@ -155,6 +167,7 @@
         address: row.address,
         slots: row.slots,
         born: row.born,
+        seq: row.seq,
         eligible,
         in_flight_count: 0,
         reported: ReportedLoad::default(),
@@ -162,13 +175,13 @@
         failure_rate: 0.0,
         failures: 0,
         backoff_until: Micros(0),
-        slow_start: (row.cold_ms > 0).then_some(SlowStart {
-            until: now.plus_millis(row.cold_ms),
-            tokens: 0.0,
-            updated: now,
-        }),
+        slow_start: None,
         recent_keys: Sorted::default(),
     };
+    let remaining_ms = row.cold_ms.max(if was_evacuated { cold_ms.1 } else { 0 });
+    if remaining_ms > 0 {
+        upstream.extend_slow_start(remaining_ms, now);
+    }
     if let Some(previous) = state.ids.get(&id).copied() {
         state.upstreams.remove(previous);
     }
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -92,6 +92,8 @@
     pub(super) address: SocketAddr,
     pub(super) slots: u32,
     pub(super) born: u64,
+    /// Sequence number of the report from which its row was made.
+    pub(super) seq: u64,
     /// Whether it may be sent requests: neither leaving nor in an evacuated zone.
     pub(super) eligible: bool,
     /// Requests of this VM in flight there.
@@ -310,6 +312,21 @@
         f64::from(self.in_flight_count) + others
     }
 
+    /// Limits its requests for `cold_ms` from now on. A slow start that lasts longer continues.
+    pub(super) fn extend_slow_start(&mut self, cold_ms: u64, now: Micros) {
+        let until = now.plus_millis(cold_ms);
+        match &mut self.slow_start {
+            Some(active) if now < active.until => active.until = active.until.max(until),
+            _ => {
+                self.slow_start = Some(SlowStart {
+                    until,
+                    tokens: 0.0,
+                    updated: now,
+                });
+            }
+        }
+    }
+
     /// Whether it recently responded to a request with that affinity key.
     pub(super) fn has_cached(&self, key: u64, now: Micros) -> bool {
         let at = self.recent_keys.get(&key);
