Deliver no status that promises more than the upstream states

Cause, by reading, looked for after the users' report on REFUSED: a 408, 429 or 503 of an upstream that does not state that it did not run the request was delivered as it is, and promises callers that it did not run.

--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -91,8 +91,8 @@
 pub struct Head {
     /// What it states about the request.
     pub meaning: Meaning,
-    /// Whether a success carries the upstream's proof that it generated the response itself; also true
-    /// if no proof is required.
+    /// Whether the response may be delivered as it is: a success carries the upstream's proof that it generated the
+    /// response itself, if one is required, and no status promises callers more than the upstream states.
     pub has_proof: bool,
     /// Whether it names the request, or the request has no name.
     pub names_request: bool,
