Publish a catalogue only with the last page of its rows

A VM that had just started then acted on a part of the routes and upstreams.

Change: what both pollers received is one value that publishes only while the rows are complete.

Evidence: a_catalogue_is_published_only_with_its_last_page fails without the condition.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -15,13 +15,7 @@
         observe::{Event, report},
     },
     std::{
-        cell::{Cell, RefCell},
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        sync::Arc,
-        thread::JoinHandle,
-        time::Duration,
+        cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration,
     },
     tokio::{
         sync::{oneshot, watch},
@@ -64,6 +58,45 @@
     }
 }
 
+/// What was received so far, by both pollers.
+#[derive(Debug, Default)]
+pub(super) struct Received {
+    /// The catalogue, which lacks the rows of pages that have not arrived.
+    pub(super) catalog: Arc<Catalog>,
+    standing: Standing,
+    standing_hash: u64,
+    /// Whether the latest page of rows was the last one, so that the catalogue is one that a control VM had.
+    is_complete: bool,
+    /// Whether anything has changed since the last publication.
+    has_changed: bool,
+    /// Version of the configuration that was last published.
+    version: u64,
+}
+
+impl Received {
+    /// Applies a page. Returns whether to publish what was received. A page of the other poller may arrive between
+    /// two pages of rows; it must not publish a catalogue of which only some pages have arrived.
+    pub(super) fn apply(&mut self, page: Page) -> bool {
+        let is_last = page.is_last();
+        if let Some(delta) = page.delta {
+            let catalog = &self.catalog;
+            let is_next = delta.since <= catalog.revision && delta.revision > catalog.revision;
+            if is_next && Arc::make_mut(&mut self.catalog).merge(delta) {
+                self.has_changed = true;
+                self.is_complete = is_last;
+            }
+        }
+        if let Some(standing) = page.standing {
+            self.standing_hash = standing.hash();
+            self.standing = standing;
+            self.has_changed = true;
+        }
+        let publishes = self.has_changed && self.is_complete;
+        self.has_changed &= !publishes;
+        publishes
+    }
+}
+
 struct Duty {
     context: Context,
     zone: String,
@@ -71,10 +104,7 @@
     secret: Secret,
     seeds: watch::Receiver<Vec<SocketAddr>>,
     publish: Box<dyn Fn(&CatalogView)>,
-    /// Catalogue received so far, which may lack the pages after the last one.
-    received: RefCell<Arc<Catalog>>,
-    standing: RefCell<Standing>,
-    standing_hash: Cell<u64>,
+    received: RefCell<Received>,
     /// Whether each poller's latest request failed; true before its first response.
     unreachable: RefCell<[bool; Poller::ALL.len()]>,
 }
@@ -102,8 +132,6 @@
             seeds,
             publish: Box::new(publish),
             received: RefCell::default(),
-            standing: RefCell::default(),
-            standing_hash: Cell::new(0),
             unreachable: RefCell::new([true; Poller::ALL.len()]),
         });
         duty::run_until(stop, async move {
@@ -126,7 +154,7 @@
                 continue;
             };
             let mut polls = 0;
-            let standing = self.standing_hash.get();
+            let standing = self.received.borrow().standing_hash;
             let error = loop {
                 let result = match poller {
                     Poller::Near => self.poll(&client, self.settings.hold_ms).await,
@@ -138,7 +166,7 @@
                 }
                 polls += 1;
                 // At first only the seeds are known; they must not keep all followers.
-                let has_moved = self.standing_hash.get() != standing
+                let has_moved = self.received.borrow().standing_hash != standing
                     && self.address(poller, 0, random) != Some(address);
                 if has_moved || (turn > 0 && polls >= DISTANT_POLLS) {
                     break None;
@@ -156,7 +184,7 @@
     /// Control VM to poll at that turn.
     fn address(&self, poller: Poller, turn: usize, random: u64) -> Option<SocketAddr> {
         let is_near = poller == Poller::Near;
-        let control = &self.standing.borrow().control;
+        let control = &self.received.borrow().standing.control;
         let all = pages::order(control, &self.seeds.borrow(), (&self.zone, is_near), random);
         all.get(turn.checked_rem(all.len())?).copied()
     }
@@ -169,11 +197,12 @@
     }
 
     fn request(&self, hold_ms: u64, want: Want) -> PageRequest {
+        let received = self.received.borrow();
         PageRequest {
-            revision: self.received.borrow().revision,
+            revision: received.catalog.revision,
             hold_ms,
             want,
-            standing: self.standing_hash.get(),
+            standing: received.standing_hash,
         }
     }
 
@@ -198,50 +227,36 @@
         let request = self.request(self.settings.hold_ms, Want::Revision);
         let page = pages::poll(client, &request).await;
         let page = page.map_err(|error| error.to_string())?;
-        if page.revision <= self.received.borrow().revision {
+        if page.revision <= self.received.borrow().catalog.revision {
             return Ok(());
         }
         time::sleep(LAG).await;
-        while self.received.borrow().revision < page.revision {
+        while self.received.borrow().catalog.revision < page.revision {
             self.context.metrics.count("catalog_lagged", 1);
             self.poll(client, 0).await?;
         }
         Ok(())
     }
 
-    /// Applies a page; publishes the view once the last page of a change has arrived.
+    /// Applies a page, and publishes the view once the last page of a change has arrived.
     fn apply(&self, page: Page) {
-        let mut changed = false;
-        let is_last = page.is_last();
-        if let Some(delta) = page.delta {
-            let mut received = self.received.borrow_mut();
-            let version = received.version;
-            let is_next = delta.since <= received.revision && delta.revision > received.revision;
-            changed = is_next && Arc::make_mut(&mut received).merge(delta);
-            if changed && is_last && received.version != version {
-                let (version, revision) = (received.version, received.revision);
-                report(
-                    Event::CONFIG_APPLIED,
-                    format_args!("version {version}, revision {revision}"),
-                );
-            }
-        }
-        if let Some(standing) = page.standing {
-            self.standing_hash.set(standing.hash());
-            *self.standing.borrow_mut() = standing;
-            changed = true;
+        let mut received = self.received.borrow_mut();
+        if !received.apply(page) {
+            return;
         }
-        if changed && is_last {
-            self.publish();
+        let catalog = Arc::clone(&received.catalog);
+        if catalog.version != received.version {
+            let (version, revision) = (catalog.version, catalog.revision);
+            received.version = version;
+            report(
+                Event::CONFIG_APPLIED,
+                format_args!("version {version}, revision {revision}"),
+            );
         }
-    }
-
-    fn publish(&self) {
-        let standing = self.standing.borrow();
         (self.publish)(&CatalogView {
-            catalog: Arc::clone(&self.received.borrow()),
-            control: Arc::new(standing.control.clone()),
-            zones: Arc::new(standing.zones.clone()),
+            catalog,
+            control: Arc::new(received.standing.control.clone()),
+            zones: Arc::new(received.standing.zones.clone()),
         });
     }
 
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -4,7 +4,9 @@
         Upstream, WeightedService, apply,
         census::{FirstCharged, FirstSeen, expired, expired_charges},
         decide::has_changes,
+        follow::Received,
         last_reports::LastReports,
+        pages::{Page, Standing},
         receiver::receiver,
     },
     crate::{agree::ControlVm, ledger::Fingerprint, poison::Charge, policy::Rejection},
@@ -419,3 +421,43 @@
     }
     assert!(catalog.charges.rows().is_empty());
 }
+
+/// Guards against an entry VM that acts on a part of the catalogue: of a catalogue with many rows only the first
+/// page has arrived when the other poller receives the list of control VMs. Routes of the missing rows would be
+/// answered with 404.
+#[test]
+fn a_catalogue_is_published_only_with_its_last_page() {
+    let mut catalog = Catalog::default();
+    for number in 0..10 {
+        let id = format!("u{number}");
+        apply(
+            &mut catalog,
+            report(&id, upstream(&format!("10.0.0.{number}:80"), 1, 1)),
+        )
+        .unwrap();
+    }
+    let rows = |received: &Received| Page {
+        revision: catalog.revision,
+        delta: Some(catalog.page(received.catalog.revision, 4)),
+        standing: None,
+    };
+    let standing = |control| Page {
+        revision: catalog.revision,
+        delta: None,
+        standing: Some(Standing {
+            control,
+            ..Standing::default()
+        }),
+    };
+    let mut received = Received::default();
+    assert!(!received.apply(standing(Vec::new())));
+    let page = rows(&received);
+    assert!(!page.is_last() && !received.apply(page));
+    assert!(!received.apply(standing(Vec::new())));
+    while received.catalog.revision < catalog.revision {
+        let page = rows(&received);
+        assert_eq!(page.is_last(), received.apply(page));
+    }
+    assert_eq!(received.catalog.upstreams.rows().len(), 10);
+    assert!(received.apply(standing(Vec::new())));
+}
--- a/src/gateway/wiring.rs
+++ b/src/gateway/wiring.rs
@@ -66,6 +66,13 @@
 }
 
 impl Readiness {
+    fn new(context: &Context) -> Self {
+        Self {
+            context: context.clone(),
+            has_configuration: Arc::default(),
+        }
+    }
+
     /// Whether this VM accepts callers: it has received a configuration and is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -108,10 +115,7 @@
         let handle = GatewayHandle {
             context: context.clone(),
             steer: steer.clone(),
-            readiness: Readiness {
-                context: context.clone(),
-                has_configuration: Arc::default(),
-            },
+            readiness: Readiness::new(&context),
         };
         let (control_tx, control) = watch::channel(settings.catalog.control.clone());
         let (monitor, poison_stops, poison_threads) =
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -582,8 +582,8 @@
 #[test]
 fn each_cause_renews_the_slow_start_of_an_upstream() {
     let cold = |seq, cold_ms| Upstream {
-        cold_ms,
         seq,
+        cold_ms,
         ..at("a", 1)
     };
     let limit = 2 * 19 / 2 + 2;
