Let the poison duty hold only what it acts on

Change: it gets charges and the addresses of serving upstreams. A loss without an incarnation that is read again from a later catalogue stays one loss.

--- a/src/gateway/wiring.rs
+++ b/src/gateway/wiring.rs
@@ -10,7 +10,7 @@
         courier::{self, WireFormat},
         edge::{self, Handler, Listener, ListenerHandle, Secret, listener::ListenError},
         observe::{Event, report},
-        poison::{self, Monitor, Recipients},
+        poison::{self, Followed, Monitor, Recipients},
         ring::{self, Sender},
         steer,
     },
@@ -328,7 +328,7 @@
         // blocks on the catalogue's thread.
         let _ = handle.steer.send(message);
         // The poison duty never blocks on the catalogue's thread either.
-        let _ = poison.send(poison::Message::Catalog(Arc::clone(&view.catalog)));
+        let _ = poison.send(poison::Message::Catalog(Followed::new(&view.catalog)));
         let (mut near, distant): (Vec<_>, Vec<_>) =
             view.control.iter().partition(|row| row.zone == zone);
         near.extend(distant);
--- a/src/poison/decide.rs
+++ b/src/poison/decide.rs
@@ -102,7 +102,11 @@
         }
     }
     for (fingerprint, losses) in rows {
-        for process in losses {
+        let record = state.charges.get(fingerprint);
+        let known: Vec<Process> = record
+            .map(|record| record.losses.iter().map(|loss| loss.0).collect())
+            .unwrap_or_default();
+        for process in losses.iter().filter(|process| !known.contains(process)) {
             let replicated = Charge {
                 fingerprint: *fingerprint,
                 upstream: process.address,
--- a/src/poison/messages.rs
+++ b/src/poison/messages.rs
@@ -3,7 +3,7 @@
 use {
     crate::{catalog::Catalog, ledger::Fingerprint},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc},
+    std::net::SocketAddr,
 };
 
 /// A process of an upstream.
@@ -15,6 +15,43 @@
     pub born: u64,
 }
 
+/// The part of a catalogue that the duty acts on. Not the catalogue itself: holding it would make its follower copy
+/// it with each change.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Followed {
+    /// Revision of the catalogue.
+    pub revision: u64,
+    /// Charged requests and the processes that were lost, in ascending order.
+    pub charges: Vec<(Fingerprint, Vec<Process>)>,
+    /// Addresses of the upstreams that are registered and not leaving, in ascending order.
+    pub serving: Vec<SocketAddr>,
+}
+
+impl Followed {
+    /// Reads them from a catalogue.
+    ///
+    /// ```
+    /// use siskinstep::{catalog::Catalog, poison::Followed};
+    /// assert_eq!(Followed::new(&Catalog::default()), Followed::default());
+    /// ```
+    #[must_use]
+    pub fn new(catalog: &Catalog) -> Self {
+        let charges = catalog.charges.rows().iter();
+        let charges = charges
+            .filter_map(|row| Some((Fingerprint::parse(&row.name)?, row.value.clone())))
+            .collect();
+        let upstreams = catalog.upstreams.rows().iter();
+        let upstreams = upstreams.filter(|row| !row.value.leaving);
+        let mut serving: Vec<_> = upstreams.map(|row| row.value.address).collect();
+        serving.sort_unstable();
+        Self {
+            revision: catalog.revision,
+            charges,
+            serving,
+        }
+    }
+}
+
 /// Input of the poison duty.
 pub enum Message {
     /// A connection to an upstream was cut after a request was written to it.
@@ -30,8 +67,8 @@
     Responded(Fingerprint),
     /// A peer has charged requests.
     Charged(Vec<Charge>),
-    /// A newer catalogue, with the charges that the control VMs have accepted.
-    Catalog(Arc<Catalog>),
+    /// What a newer catalogue says of charges and upstreams.
+    Catalog(Followed),
     /// An operator, or a peer on behalf of one, lifts charges.
     Lift {
         /// Charges to lift.
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -15,7 +15,7 @@
 
 pub use {
     guard::Guard,
-    messages::{Charge, ChargedRequest, Charges, Lift, Message, Process},
+    messages::{Charge, ChargedRequest, Charges, Followed, Lift, Message, Process},
     monitor::{Monitor, Verdicts, fingerprint},
     send::Recipients,
     serve::{register, register_orders},
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -177,6 +177,19 @@
     replicate(&mut state, &settings, (4, &[(POISON, losses)]), ms(0));
     expire(&mut state, &settings, ms(settings.ttl_ms + 1));
     assert_eq!(state.charges.get(&POISON).unwrap().losses.len(), 3);
+    // Read again from a later catalogue, a loss without an incarnation is still the same.
+    let losses = vec![process(1)];
+    let harmless = Fingerprint(1, 1);
+    for revision in 6..9 {
+        let rows = [(harmless, losses.clone())];
+        replicate(
+            &mut state,
+            &settings,
+            (revision, &rows),
+            ms(revision * 5_000),
+        );
+    }
+    assert_eq!(state.charges.get(&harmless).unwrap().losses.len(), 1);
     replicate(&mut state, &settings, (5, &[]), ms(1));
     assert!(state.charges.is_empty());
 }
--- a/src/poison/thread.rs
+++ b/src/poison/thread.rs
@@ -3,14 +3,13 @@
 use {
     super::{
         decide,
-        messages::{Charge, Charges, Lift, Message, Process},
+        messages::{Charge, Charges, Followed, Lift, Message, Process},
         monitor::Verdicts,
         send::{self, PeerUpdate, Recipients},
         settings::Settings,
         state::State,
     },
     crate::{
-        catalog::Catalog,
         clock::Micros,
         context::Context,
         duty,
@@ -68,7 +67,7 @@
         updates,
         verdicts,
         state: State::default(),
-        catalog: None,
+        followed: None,
         last_probe: Micros(0),
         stop,
     };
@@ -82,8 +81,8 @@
     updates: AsyncSender<PeerUpdate>,
     verdicts: watch::Sender<Arc<Verdicts>>,
     state: State,
-    /// Latest catalogue, where one is followed.
-    catalog: Option<Arc<Catalog>>,
+    /// What the latest catalogue says, where one is followed.
+    followed: Option<Followed>,
     last_probe: Micros,
     // Needed because admin and peer listeners hold senders of the ring until after shutdown of the
     // request path.
@@ -130,7 +129,7 @@
                 }
                 self.publish();
             }
-            Message::Catalog(catalog) => self.follow(&catalog),
+            Message::Catalog(followed) => self.follow(followed),
             Message::Lift { lift, notify_peers } => self.lift(lift, notify_peers),
             Message::Read(reply) => reply(decide::list(&self.state, &self.settings, now)),
         }
@@ -146,29 +145,24 @@
     }
 
     /// Takes over the charges of a newer catalogue.
-    fn follow(&mut self, catalog: &Arc<Catalog>) {
-        let known = self.catalog.replace(Arc::clone(catalog));
-        if known.is_some_and(|known| known.charges == catalog.charges) {
-            self.state.revision = catalog.revision;
-            return;
-        }
-        let rows = catalog.charges.rows().iter();
-        let rows: Vec<(Fingerprint, Vec<Process>)> = rows
-            .filter_map(|row| Some((Fingerprint::parse(&row.name)?, row.value.clone())))
-            .collect();
+    fn follow(&mut self, followed: Followed) {
+        let has_changed = self
+            .followed
+            .as_ref()
+            .is_none_or(|known| known.charges != followed.charges);
         let now = self.context.clock.now();
-        let replicated = (catalog.revision, &*rows);
+        let replicated = (followed.revision, &*followed.charges);
         decide::replicate(&mut self.state, &self.settings, replicated, now);
-        self.publish();
+        self.followed = Some(followed);
+        if has_changed {
+            self.publish();
+        }
     }
 
     /// Whether the upstream at this address ends on order: it is leaving, or has left.
     fn is_leaving(&self, address: SocketAddr) -> bool {
-        self.catalog.as_ref().is_some_and(|catalog| {
-            let mut rows = catalog.upstreams.rows().iter();
-            let row = rows.find(|row| row.value.address == address);
-            row.is_none_or(|row| row.value.leaving)
-        })
+        let followed = self.followed.as_ref();
+        followed.is_some_and(|followed| followed.serving.binary_search(&address).is_err())
     }
 
     /// Removes expired entries and probes upstreams with a cut connection, as a crashing process
@@ -228,7 +222,7 @@
 
     fn lift(&mut self, lift: Lift, notify_peers: bool) {
         let lift = Lift {
-            base: self.catalog.is_some().then_some(self.state.revision),
+            base: self.followed.is_some().then_some(self.state.revision),
             ..lift
         };
         if decide::lift(&mut self.state, lift) {
