Carry out the effects of an effect at once

Cause, found on reading the change again: a request that became a poison request while it waited was refused only with the next message of the steer duty, up to 500 ms later.

Change: effects are applied until none is left.

--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -258,13 +258,16 @@
     fn apply_effects(&mut self, mut response: Option<Answer>) {
         loop {
             let effects = std::mem::take(&mut self.state.effects);
+            if effects.is_empty() {
+                let Some(key) = self.unsent.pop() else {
+                    return;
+                };
+                self.fail_unsent(key, Reason::RingFull);
+            }
+            // An effect may lead to others, such as a refusal in place of an attempt.
             for effect in effects {
                 self.apply_effect(effect, &mut response);
             }
-            let Some(key) = self.unsent.pop() else {
-                return;
-            };
-            self.fail_unsent(key, Reason::RingFull);
         }
     }
 
