Pass on a cold time only if it is later than what the row says

Cause: the first report of a cold upstream to a control VM counted as a new cold time, so that after an outage each cold upstream that reports elsewhere wrote an entry of the log.

Change: the first report here is compared with the row's remaining time.

--- a/src/catalog/last_reports.rs
+++ b/src/catalog/last_reports.rs
@@ -72,26 +72,35 @@
     }
 
     /// Records the remaining slow start in a report that this control VM received. Returns whether it ends later
-    /// than that of the last report: the upstream has become cold again.
+    /// than that of the last report: the upstream has become cold again. The first report here is compared with the
+    /// remaining time in the upstream's row, which only a later slow start can exceed: an order for each cold
+    /// upstream that reports to another control VM would fill the log after an outage.
     ///
     /// ```
     /// let reports = siskinstep::catalog::last_reports::LastReports::default();
     /// let now = std::time::Instant::now();
-    /// assert!(reports.record_cold("u-1", 7, 3_000, now));
-    /// assert!(!reports.record_cold("u-1", 7, 2_900, now));
-    /// assert!(reports.record_cold("u-1", 7, 5_000, now));
+    /// assert!(!reports.record_cold("u-1", (7, 2_900), 3_000, now));
+    /// assert!(!reports.record_cold("u-1", (7, 2_800), 3_000, now));
+    /// assert!(reports.record_cold("u-1", (7, 5_000), 3_000, now));
     /// ```
     #[must_use]
-    pub fn record_cold(&self, id: &str, born: u64, cold_ms: u64, now: Instant) -> bool {
+    pub fn record_cold(
+        &self,
+        id: &str,
+        (born, cold_ms): (u64, u64),
+        row_ms: u64,
+        now: Instant,
+    ) -> bool {
         let mut inner = self.lock();
         if cold_ms == 0 {
             inner.cold.remove(id);
             return false;
         }
         let until = now + Duration::from_millis(cold_ms);
-        let known = inner.cold.get(id);
-        let is_renewed = known.is_none_or(|(other, end)| *other != born || until > *end + JITTER);
-        if is_renewed {
+        let known = inner.cold.get(id).filter(|(other, _)| *other == born);
+        let known_until = known.map_or(now + Duration::from_millis(row_ms), |row| row.1);
+        let is_renewed = until > known_until + JITTER;
+        if known.is_none() || is_renewed {
             inner.cold.insert(id.to_owned(), (born, until));
         }
         is_renewed
--- a/src/catalog/serve.rs
+++ b/src/catalog/serve.rs
@@ -97,10 +97,11 @@
     #[must_use]
     pub fn record_report(&self, id: &str, upstream: &Upstream) -> bool {
         self.last_reports.record(id, upstream.born);
-        let (born, cold_ms) = (upstream.born, upstream.cold_ms);
-        let now = Instant::now();
-        let is_cold_again = self.last_reports.record_cold(id, born, cold_ms, now);
         let catalog = Arc::clone(&self.policies.borrow().catalog);
+        let row_ms = catalog.upstreams.get(id).map_or(0, |row| row.cold_ms);
+        let reported = (upstream.born, upstream.cold_ms);
+        let now = Instant::now();
+        let is_cold_again = self.last_reports.record_cold(id, reported, row_ms, now);
         has_changes(&catalog, id, upstream) || (is_cold_again && !is_stale(&catalog, id, upstream))
     }
 }
