Log where an operator's order spends its time and which control VM a version came from

An order that took long said nothing of the wait for a leader, for the calls that it shares with the reports of upstreams, for disk and quorum; a version in force said nothing of the control VM that sent it.

- E2022 on the control VM that an operator called: version, base, identity, result, and the time spent on an election, on other calls, on responses.
- E2023 on the leader: entry, size, commands before it, disk and quorum.
- E2024 and E2025 when a control VM becomes current or ceases to be, and whether by the log or a copy; E1301 on control VMs too, with the same.
- E1301 of entry VMs: pages, time, last sender.
E1304 and E1305 when the near control VM falls behind the distant one and catches up.

One line for each order or change of belief; reports of upstreams get none. The world of the agree tests checks that the times are in order. The tests of the catalogue move to a folder. No decision changes.

--- a/src/agree/apply.rs
+++ b/src/agree/apply.rs
@@ -5,12 +5,13 @@
     super::{
         decide::{Effect, Note, Step},
         elect,
-        state::{State, decode_content},
+        messages::SubmitResult,
+        state::{PendingSubmit, State, Timing, decode_content},
         wire::{Content, Image, Members},
     },
     crate::{
         catalog::{self, Order},
-        keys::{DiskId, OperatorCallKey},
+        keys::DiskId,
         policy::{self, Command},
         storage::{Entry, Position, Snapshot},
     },
@@ -49,13 +50,7 @@
         return;
     };
     let result = policy::apply(Arc::make_mut(&mut step.state.machine), command);
-    if let Some(operator_call) = take_operator_call(step.state, at) {
-        let result = Ok(result);
-        step.effects.push(Effect::ReplySubmit {
-            operator_call,
-            result,
-        });
-    }
+    reply(step, at, Ok(result));
 }
 
 fn order(step: &mut Step<'_>, at: Position, json: &[u8]) {
@@ -64,22 +59,34 @@
     };
     let machine = Arc::make_mut(&mut step.state.machine);
     let result = catalog::apply(Arc::make_mut(&mut machine.catalog), order);
-    if let Some(operator_call) = take_operator_call(step.state, at) {
-        let result = Ok(result);
-        step.effects.push(Effect::ReplySubmit {
-            operator_call,
-            result,
-        });
-    }
+    reply(step, at, Ok(result));
+}
+
+/// Replies to the operator call that waits for the entry at `at`, if there is one.
+fn reply(step: &mut Step<'_>, at: Position, result: SubmitResult) {
+    let now = step.now;
+    let Some(submit) = take_submit(step.state, at) else {
+        return;
+    };
+    let operator_call = submit.operator_call;
+    step.effects.push(Effect::ReportTiming {
+        operator_call,
+        at,
+        timing: Timing {
+            committed: now,
+            ..submit.timing
+        },
+    });
+    step.effects.push(Effect::ReplySubmit {
+        operator_call,
+        result,
+    });
 }
 
-/// Removes and returns the key of the operator call that waits for the entry at `at`.
-fn take_operator_call(state: &mut State, at: Position) -> Option<OperatorCallKey> {
+/// Removes and returns the command that waits for the entry at `at`.
+fn take_submit(state: &mut State, at: Position) -> Option<PendingSubmit> {
     let submits = &mut state.leader_state()?.submits;
-    let first = submits.front().filter(|row| row.at == at)?;
-    let operator_call = first.operator_call;
-    submits.pop_front();
-    Some(operator_call)
+    submits.pop_front_if(|row| row.at == at)
 }
 
 fn members_changed(step: &mut Step<'_>, index: u64, members: &Members) {
--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -5,7 +5,7 @@
         apply, elect, install, join, member,
         messages::{MemberChange, SubmitResult, Unavailable},
         placement, replicate,
-        state::{HeldMessage, PendingSubmit, Role, State},
+        state::{HeldMessage, PendingSubmit, Role, State, Timing},
         wire::{Body, Content, Envelope, Promise},
     },
     crate::{
@@ -75,6 +75,12 @@
     },
     /// End a peer's call without a reply.
     DropReply(PeerCallKey),
+    /// Report where the time of a command went.
+    ReportTiming {
+        operator_call: OperatorCallKey,
+        at: Position,
+        timing: Timing,
+    },
     /// Reply to a command.
     ReplySubmit {
         operator_call: OperatorCallKey,
@@ -255,11 +261,19 @@
             result,
         });
     }
+    let timing = Timing {
+        bytes: json.len(),
+        ahead: pending,
+        since: step.now,
+        ..Timing::default()
+    };
     let at = step.push(&wrap(json.into()));
     if let Some(leader_state) = step.state.leader_state() {
-        leader_state
-            .submits
-            .push_back(PendingSubmit { at, operator_call });
+        leader_state.submits.push_back(PendingSubmit {
+            at,
+            operator_call,
+            timing,
+        });
     }
 }
 
@@ -269,6 +283,7 @@
             if let Some(number) = step.state.writing.take() {
                 step.state.written = number;
                 step.state.durable_index = step.state.writing_index;
+                record_sync(step);
             }
             if step.state.disk_error.take().is_some() {
                 step.note(Note::DiskBack);
@@ -285,6 +300,20 @@
     }
 }
 
+/// Records which pending commands are on the local disk.
+fn record_sync(step: &mut Step<'_>) {
+    let (now, durable) = (step.now, step.state.durable_index);
+    let Some(leader_state) = step.state.leader_state() else {
+        return;
+    };
+    for submit in &mut leader_state.submits {
+        if submit.at.index > durable {
+            return;
+        }
+        submit.timing.synced.get_or_insert(now);
+    }
+}
+
 fn receive(step: &mut Step<'_>, envelope: &Envelope) {
     let hard = step.state.hard;
     if envelope.from == hard.disk || (envelope.to != hard.disk && envelope.to != DiskId(0)) {
--- a/src/agree/state.rs
+++ b/src/agree/state.rs
@@ -45,6 +45,22 @@
 pub(super) struct PendingSubmit {
     pub(super) at: Position,
     pub(super) operator_call: OperatorCallKey,
+    pub(super) timing: Timing,
+}
+
+/// Where the time of a command went, from its submission to the leader until it was committed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Timing {
+    /// Size of its entry in bytes.
+    pub(super) bytes: usize,
+    /// Commands that were pending before it.
+    pub(super) ahead: usize,
+    /// Time of its submission.
+    pub(super) since: Micros,
+    /// Time at which it was on the leader's disk, if it was before the quorum had it.
+    pub(super) synced: Option<Micros>,
+    /// Time at which it was committed.
+    pub(super) committed: Micros,
 }
 
 /// A read that waits for a quorum to confirm the leader.
--- a/src/agree/tests/world.rs
+++ b/src/agree/tests/world.rs
@@ -381,6 +381,10 @@
                 self.schedule(at, Event::Synced { node, start });
             }
             Effect::Send { to, envelope, .. } => self.send(node, to, &envelope),
+            Effect::ReportTiming { timing, .. } => {
+                let synced = timing.synced.unwrap_or(timing.committed);
+                assert!(timing.since <= synced && synced <= timing.committed);
+            }
             Effect::ReplySubmit {
                 operator_call,
                 result,
--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -8,7 +8,7 @@
             ControlVm, Followed, MembersResult, Message, PeerReply, SubmitResult, Unavailable,
         },
         settings::{MemberConfig, Settings},
-        state::State,
+        state::{State, Timing},
         transport::{Packet, PacketSender},
     },
     crate::{
@@ -19,7 +19,7 @@
         observe::{Event, report},
         policy::Policy,
         ring::{Ring, Sender, Wait},
-        storage::{self, Recovered, Report},
+        storage::{self, Position, Recovered, Report},
     },
     slotmap::SlotMap,
     std::{io, net::SocketAddr, sync::Arc, thread::JoinHandle, time::Duration},
@@ -84,7 +84,11 @@
 
 /// Callback of a caller that waits for a result.
 enum PendingReply {
-    Submit(Box<dyn FnOnce(SubmitResult) + Send>),
+    Submit {
+        reply: Box<dyn FnOnce(SubmitResult) + Send>,
+        /// What an operator ordered, for the log.
+        summary: Option<String>,
+    },
     Read(Box<dyn FnOnce(Result<Arc<Policy>, Unavailable>) + Send>),
     Members(Box<dyn FnOnce(MembersResult) + Send>),
 }
@@ -168,14 +172,16 @@
         }
         match message {
             Message::Submit { command, reply } => {
-                let operator_call = self.pending.insert(PendingReply::Submit(reply));
+                let summary = None;
+                let operator_call = self.pending.insert(PendingReply::Submit { reply, summary });
                 self.step(Input::Submit {
                     operator_call,
                     command,
                 });
             }
             Message::Order { order, reply } => {
-                let operator_call = self.pending.insert(PendingReply::Submit(reply));
+                let summary = order.summary();
+                let operator_call = self.pending.insert(PendingReply::Submit { reply, summary });
                 self.step(Input::Order {
                     operator_call,
                     order,
@@ -236,7 +242,7 @@
         let now = self.context.clock.now();
         self.state.followed_until = now.plus_millis(followed.valid_ms);
         if let Some(catalog) = followed.catalog.take() {
-            self.publish_newer(|policy| policy.catalog = catalog);
+            self.publish_newer("a copy", |policy| policy.catalog = catalog);
         }
         self.followed = Some(followed);
         self.step(Input::Tick);
@@ -245,8 +251,15 @@
     /// Publishes whether this replica is current, the members, all control VMs and the leader.
     fn publish_standing(&mut self, now: Micros) {
         let is_led = decide::is_current(&self.state, now);
-        publish_changed(&self.outputs.is_led, is_led);
         let is_current = is_led || now < self.state.followed_until;
+        let was = (
+            *self.outputs.is_led.borrow(),
+            *self.outputs.is_current.borrow(),
+        );
+        if was != (is_led, is_current) {
+            self.report_currency(is_led, is_current);
+        }
+        publish_changed(&self.outputs.is_led, is_led);
         publish_changed(&self.outputs.is_current, is_current);
         let followed = self.followed.as_ref().filter(|_| !is_led);
         let leader = match followed {
@@ -270,6 +283,21 @@
         publish_changed(&self.outputs.control, control);
     }
 
+    fn report_currency(&self, is_led: bool, is_current: bool) {
+        let policy = self.outputs.policies.borrow();
+        let (version, revision) = (policy.catalog.version, policy.catalog.revision);
+        let event = if is_current {
+            Event::CURRENT
+        } else {
+            Event::NOT_CURRENT
+        };
+        let source = if is_led { "the log" } else { "a copy" };
+        report(
+            event,
+            format_args!("by {source}, version {version}, revision {revision}"),
+        );
+    }
+
     fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::Write(batch) => {
@@ -288,6 +316,11 @@
                 }
             }
             Effect::DropReply(peer_call) => drop(self.peer_calls.remove(peer_call)),
+            Effect::ReportTiming {
+                operator_call,
+                at,
+                timing,
+            } => self.report_timing(operator_call, at, timing),
             Effect::ReplySubmit {
                 operator_call,
                 result,
@@ -319,10 +352,34 @@
         }
     }
 
+    fn report_timing(&self, operator_call: OperatorCallKey, at: Position, timing: Timing) {
+        let Some(PendingReply::Submit {
+            summary: Some(summary),
+            ..
+        }) = self.pending.get(operator_call)
+        else {
+            return;
+        };
+        let millis = |until: Micros| until.since(timing.since).as_millis();
+        report(
+            Event::ORDER_COMMITTED,
+            format_args!(
+                "{summary}: entry {} of term {}, {} bytes, {} commands before it, on this disk after {} ms, \
+                 committed after {} ms",
+                at.index,
+                at.term,
+                timing.bytes,
+                timing.ahead,
+                millis(timing.synced.unwrap_or(timing.committed)),
+                millis(timing.committed)
+            ),
+        );
+    }
+
     fn reply_submit(&mut self, operator_call: OperatorCallKey, result: SubmitResult) {
         self.context.metrics.count("commands", 1);
         self.count_unavailable(result.as_ref().err());
-        if let Some(PendingReply::Submit(reply)) = self.pending.remove(operator_call) {
+        if let Some(PendingReply::Submit { reply, .. }) = self.pending.remove(operator_call) {
             reply(result);
         }
     }
@@ -340,7 +397,7 @@
                 reply(result.map(|()| Arc::clone(&self.state.machine)));
             }
             Some(PendingReply::Members(reply)) => reply(result.map(|()| Ok(self.member_status()))),
-            Some(PendingReply::Submit(_)) | None => {}
+            Some(PendingReply::Submit { .. }) | None => {}
         }
     }
 
@@ -366,7 +423,7 @@
         policy.receipts.extend_from_slice(&receipts[recent..]);
         policy.catalog = Arc::clone(&self.state.machine.catalog);
         let version = policy.version;
-        if !self.publish_newer(|published| *published = policy) {
+        if !self.publish_newer("the log", |published| *published = policy) {
             return;
         }
         let level = usize::try_from(version).unwrap_or(usize::MAX);
@@ -378,9 +435,10 @@
 
     /// Publishes a change of the configuration, unless its result is older than what was published: a
     /// renewed disk recovers from the beginning, and a member that this VM followed was ahead of it.
-    fn publish_newer(&self, change: impl FnOnce(&mut Policy)) -> bool {
+    fn publish_newer(&self, source: &str, change: impl FnOnce(&mut Policy)) -> bool {
         let age = |policy: &Policy| (policy.catalog.revision, policy.version);
-        self.outputs.policies.send_if_modified(|published| {
+        let configured = self.outputs.policies.borrow().catalog.version;
+        let is_newer = self.outputs.policies.send_if_modified(|published| {
             let mut next = (**published).clone();
             change(&mut next);
             let ((revision, version), (old_revision, old_version)) = (age(&next), age(published));
@@ -389,7 +447,16 @@
                 *published = Arc::new(next);
             }
             is_newer
-        })
+        });
+        let catalog = Arc::clone(&self.outputs.policies.borrow().catalog);
+        if catalog.version != configured {
+            let (version, revision) = (catalog.version, catalog.revision);
+            report(
+                Event::CONFIG_APPLIED,
+                format_args!("version {version}, revision {revision}, by {source}"),
+            );
+        }
+        is_newer
     }
 
     fn reinitialize(&mut self) {
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -15,7 +15,13 @@
         observe::{Event, report},
     },
     std::{
-        cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration,
+        cell::{Cell, RefCell},
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        thread::JoinHandle,
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{oneshot, watch},
@@ -61,8 +67,7 @@
 /// What was received so far, by both pollers.
 #[derive(Debug, Default)]
 pub(super) struct Received {
-    /// The catalogue, which lacks the rows of pages that have not arrived.
-    pub(super) catalog: Arc<Catalog>,
+    catalog: Arc<Catalog>,
     standing: Standing,
     standing_hash: u64,
     /// Whether the latest page of rows was the last one, so that the catalogue is one that a control VM had.
@@ -71,9 +76,22 @@
     has_changed: bool,
     /// Version of the configuration that was last published.
     version: u64,
+    /// Pages with rows since the last publication, and the time of the first one.
+    pages: u32,
+    began: Option<Instant>,
 }
 
 impl Received {
+    /// The catalogue, which lacks the rows of pages that have not arrived.
+    pub(super) fn catalog(&self) -> &Arc<Catalog> {
+        &self.catalog
+    }
+
+    /// Revision from which on changes are missing.
+    pub(super) fn revision(&self) -> u64 {
+        self.catalog.revision
+    }
+
     /// Applies a page. Returns whether to publish what was received. A page of the other poller may arrive between
     /// two pages of rows; it must not publish a catalogue of which only some pages have arrived.
     pub(super) fn apply(&mut self, page: Page) -> bool {
@@ -84,6 +102,7 @@
             if is_next && Arc::make_mut(&mut self.catalog).merge(delta) {
                 self.has_changed = true;
                 self.is_complete = is_last;
+                self.pages += 1;
             }
         }
         if let Some(standing) = page.standing {
@@ -105,6 +124,8 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
     publish: Box<dyn Fn(&CatalogView)>,
     received: RefCell<Received>,
+    /// Whether the near control VM is behind the distant one.
+    is_behind: Cell<bool>,
     /// Whether each poller's latest request failed; true before its first response.
     unreachable: RefCell<[bool; Poller::ALL.len()]>,
 }
@@ -132,6 +153,7 @@
             seeds,
             publish: Box::new(publish),
             received: RefCell::default(),
+            is_behind: Cell::default(),
             unreachable: RefCell::new([true; Poller::ALL.len()]),
         });
         duty::run_until(stop, async move {
@@ -157,8 +179,8 @@
             let standing = self.received.borrow().standing_hash;
             let error = loop {
                 let result = match poller {
-                    Poller::Near => self.poll(&client, self.settings.hold_ms).await,
-                    Poller::Distant => self.compare(&client).await,
+                    Poller::Near => self.poll(&client, address, self.settings.hold_ms).await,
+                    Poller::Distant => self.compare(&client, address).await,
                 };
                 self.record_outcome(poller, result.as_ref().err(), address);
                 if let Err(error) = result {
@@ -199,7 +221,7 @@
     fn request(&self, hold_ms: u64, want: Want) -> PageRequest {
         let received = self.received.borrow();
         PageRequest {
-            revision: received.catalog.revision,
+            revision: received.revision(),
             hold_ms,
             want,
             standing: received.standing_hash,
@@ -207,11 +229,11 @@
     }
 
     /// Polls for the next page.
-    async fn poll(&self, client: &Client, hold_ms: u64) -> Result<(), String> {
+    async fn poll(&self, client: &Client, address: SocketAddr, hold_ms: u64) -> Result<(), String> {
         let request = self.request(hold_ms, Want::Rows);
         match pages::poll(client, &request).await {
             Ok(page) => {
-                self.apply(page);
+                self.apply(page, address);
                 Ok(())
             }
             Err(error) => {
@@ -223,34 +245,61 @@
 
     /// Asks a control VM for its revision. If the near one does not deliver it in time, polls this one for
     /// the rows.
-    async fn compare(&self, client: &Client) -> Result<(), String> {
+    async fn compare(&self, client: &Client, address: SocketAddr) -> Result<(), String> {
         let request = self.request(self.settings.hold_ms, Want::Revision);
         let page = pages::poll(client, &request).await;
         let page = page.map_err(|error| error.to_string())?;
-        if page.revision <= self.received.borrow().catalog.revision {
+        if page.revision <= self.received.borrow().revision() {
             return Ok(());
         }
         time::sleep(LAG).await;
-        while self.received.borrow().catalog.revision < page.revision {
+        let revision = self.received.borrow().revision();
+        self.report_lag(revision < page.revision, || {
+            format!("at revision {revision}, {address} is at {}", page.revision)
+        });
+        while self.received.borrow().revision() < page.revision {
             self.context.metrics.count("catalog_lagged", 1);
-            self.poll(client, 0).await?;
+            self.poll(client, address, 0).await?;
         }
         Ok(())
     }
 
+    /// Reports when the near control VM falls behind, and when it has caught up.
+    fn report_lag(&self, is_behind: bool, detail: impl FnOnce() -> String) {
+        if self.is_behind.replace(is_behind) == is_behind {
+            return;
+        }
+        let event = if is_behind {
+            Event::CATALOG_BEHIND
+        } else {
+            Event::CATALOG_LEVEL
+        };
+        report(event, format_args!("{}", detail()));
+    }
+
     /// Applies a page, and publishes the view once the last page of a change has arrived.
-    fn apply(&self, page: Page) {
+    fn apply(&self, page: Page, address: SocketAddr) {
         let mut received = self.received.borrow_mut();
-        if !received.apply(page) {
+        let publishes = received.apply(page);
+        if received.pages == 0 {
+            received.began = None;
+        }
+        let began = *received.began.get_or_insert_with(Instant::now);
+        if !publishes {
             return;
         }
-        let catalog = Arc::clone(&received.catalog);
+        received.began = None;
+        let pages = std::mem::take(&mut received.pages);
+        let catalog = Arc::clone(received.catalog());
         if catalog.version != received.version {
             let (version, revision) = (catalog.version, catalog.revision);
             received.version = version;
             report(
                 Event::CONFIG_APPLIED,
-                format_args!("version {version}, revision {revision}"),
+                format_args!(
+                    "version {version}, revision {revision}, {pages} pages in {} ms, the last from {address}",
+                    began.elapsed().as_millis()
+                ),
             );
         }
         (self.publish)(&CatalogView {
--- a/src/catalog/messages.rs
+++ b/src/catalog/messages.rs
@@ -208,3 +208,36 @@
         base: Option<u64>,
     },
 }
+
+impl Order {
+    /// What an operator ordered and how to recognise it in the logs of other VMs; `None` for orders that no
+    /// operator gave.
+    ///
+    /// ```
+    /// use siskinstep::catalog::Order;
+    /// let order = Order::Evacuate { zone: "north-a".into(), on: true, base: Some(7) };
+    /// assert_eq!(order.summary().unwrap(), "zone north-a, evacuated true, at revision 7");
+    /// ```
+    #[must_use]
+    pub fn summary(&self) -> Option<String> {
+        match self {
+            Self::Configure {
+                base,
+                version,
+                identity: ChangeId(high, low),
+                ..
+            } => Some(format!(
+                "configuration {version} on {base}, identity {high:016x}{low:016x}"
+            )),
+            Self::Evacuate { zone, on, base } => Some(format!(
+                "zone {zone}, evacuated {on}, at revision {}",
+                base.unwrap_or_default()
+            )),
+            Self::Report { .. }
+            | Self::Leave { .. }
+            | Self::Forget { .. }
+            | Self::Charge { .. }
+            | Self::Lift { .. } => None,
+        }
+    }
+}
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Removals that a table retains; a follower that is further behind receives the complete table.
-const MAX_REMOVALS: usize = 1_024;
+pub(super) const MAX_REMOVALS: usize = 1_024;
 
 /// One row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests/mod.rs
@@ -438,7 +438,7 @@
     }
     let rows = |received: &Received| Page {
         revision: catalog.revision,
-        delta: Some(catalog.page(received.catalog.revision, 4)),
+        delta: Some(catalog.page(received.revision(), 4)),
         standing: None,
     };
     let standing = |control| Page {
@@ -454,10 +454,10 @@
     let page = rows(&received);
     assert!(!page.is_last() && !received.apply(page));
     assert!(!received.apply(standing(Vec::new())));
-    while received.catalog.revision < catalog.revision {
+    while received.revision() < catalog.revision {
         let page = rows(&received);
         assert_eq!(page.is_last(), received.apply(page));
     }
-    assert_eq!(received.catalog.upstreams.rows().len(), 10);
+    assert_eq!(received.catalog().upstreams.rows().len(), 10);
     assert!(received.apply(standing(Vec::new())));
 }
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -7,6 +7,7 @@
 mod evacuate;
 pub mod messages;
 pub mod serve;
+mod spent;
 #[cfg(test)]
 mod tests;
 mod thread;
--- a/src/handover/thread.rs
+++ b/src/handover/thread.rs
@@ -6,6 +6,7 @@
         evacuate::{Evacuation, Step},
         messages::{Message, ReadResult},
         serve::{self, HandedOrders, HandedRead, ORDERS_METHOD, READ_METHOD},
+        spent::{Spent, outcome},
     },
     crate::{
         agree::{SubmitResult, Unavailable},
@@ -21,7 +22,13 @@
     jsonrpsee::core::ClientError,
     serde::{Serialize, de::DeserializeOwned},
     std::{
-        cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration,
+        cell::RefCell,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        thread::JoinHandle,
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{Semaphore, oneshot},
@@ -129,25 +136,34 @@
     }
 
     /// Waits for the end of an election, but not for long.
-    async fn wait_for_leader(&self) {
+    async fn wait_for_leader(&self, spent: &mut Spent) {
+        let since = Instant::now();
         let mut leader = self.deps.source.leader.clone();
         let elected = leader.wait_for(Option::is_some);
         // Without a leader, the log names the reason.
         let _ = time::timeout(ELECTION_TIMEOUT, elected).await;
+        spent.election += since.elapsed();
     }
 
     /// Submits orders, and those again that were provably not accepted because the leader changed.
     async fn orders(&self, mut pending: Vec<PendingOrder>) {
-        self.wait_for_leader().await;
+        let mut spent = Spent::default();
+        self.wait_for_leader(&mut spent).await;
         let mut last = None;
         for tries in 0.. {
             let orders: Vec<Order> = pending.iter().map(|(order, _)| order.clone()).collect();
             let results = match self.next(tries, last.as_ref()) {
-                Next::Local => serve::submit(&self.deps.source.ring, orders).await,
+                Next::Local => {
+                    let since = Instant::now();
+                    let results = serve::submit(&self.deps.source.ring, orders).await;
+                    spent.response += since.elapsed();
+                    spent.tries += 1;
+                    results
+                }
                 Next::Remote(leader) => {
                     let count = orders.len();
                     let handed = HandedOrders { orders };
-                    let called = self.call(leader, ORDERS_METHOD, &handed).await;
+                    let called = self.call(leader, ORDERS_METHOD, &handed, &mut spent).await;
                     called.unwrap_or_else(|reason| vec![Err(reason); count])
                 }
                 Next::Fail(reason) => vec![Err(reason); orders.len()],
@@ -163,7 +179,16 @@
                         last = Some(reason.clone());
                         rejected.push((order, reply));
                     }
-                    _ => reply(result),
+                    _ => {
+                        if let Some(summary) = order.summary() {
+                            let outcome = outcome(&result);
+                            report(
+                                Event::ORDER_ENDED,
+                                format_args!("{summary}: {outcome}; {spent}"),
+                            );
+                        }
+                        reply(result);
+                    }
                 }
             }
             if rejected.is_empty() {
@@ -214,12 +239,16 @@
 
     /// Revision of the newest catalogue, confirmed by a quorum.
     async fn revision(&self) -> Result<u64, Unavailable> {
-        self.wait_for_leader().await;
+        let mut spent = Spent::default();
+        self.wait_for_leader(&mut spent).await;
         let mut last = None;
         for tries in 0.. {
             let result = match self.next(tries, last.as_ref()) {
                 Next::Local => serve::read(&self.deps.source.ring).await,
-                Next::Remote(leader) => self.call(leader, READ_METHOD, &HandedRead {}).await,
+                Next::Remote(leader) => {
+                    let handed = HandedRead {};
+                    self.call(leader, READ_METHOD, &handed, &mut spent).await
+                }
                 Next::Fail(reason) => return Err(reason),
             };
             match result {
@@ -246,14 +275,21 @@
         leader: SocketAddr,
         method: &str,
         params: &impl Serialize,
+        spent: &mut Spent,
     ) -> Result<T, Unavailable> {
+        let since = Instant::now();
         // The semaphore is never closed.
         let _permit = self.calls.acquire().await;
+        spent.permit += since.elapsed();
         let Some(client) = self.client(leader) else {
             return Err(Unavailable::Busy);
         };
         self.deps.context.metrics.count("handed_over", 1);
-        match client.call::<Result<T, Unavailable>>(method, params).await {
+        let since = Instant::now();
+        let called = client.call::<Result<T, Unavailable>>(method, params).await;
+        spent.response += since.elapsed();
+        spent.tries += 1;
+        match called {
             Ok(result) => result,
             Err(ClientError::Call(error)) => {
                 self.deps.context.metrics.count("handover_refused", 1);
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -52,6 +52,8 @@
     CONFIG_APPLIED = 1301 Info "Configuration applied", "None.";
     CONTROL_UNREACHABLE = 1302 Warn "No control VM is reachable", "Check the control VMs and the network; traffic continues with the last configuration.";
     CONTROL_REACHED = 1303 Info "A control VM is reachable", "None.";
+    CATALOG_BEHIND = 1304 Warn "Near control VM is behind a distant one; rows are polled from the distant one", "None if E1305 follows; otherwise check the control VMs of this zone.";
+    CATALOG_LEVEL = 1305 Info "Near control VM is no longer behind", "None.";
     PLACED = 1310 Info "Request sent to an upstream", "None; the line gives the reasons for the choice.";
     REFUSED = 1311 Warn "Request ended without a response from an upstream", "Look up the reason in `docs/limits.md`; find the request's other lines by its ID.";
     ATTEMPT_FAILED = 1312 Warn "Attempt at an upstream failed", "Check the upstream if this repeats.";
@@ -69,6 +71,10 @@
     NOT_KEPT = 2011 Warn "No `data_dir`: accepted configuration is lost when the process exits", "Set `data_dir`, except for a trial.";
     EVACUATION_ENDED = 2020 Info "Order to evacuate an availability zone or to admit it again ended", "None; the line has the result.";
     ORDER_ABANDONED = 2021 Info "Order dropped, as its caller disconnected before it was submitted", "None; the caller repeats it at another control VM.";
+    ORDER_ENDED = 2022 Info "Order of an operator ended on the control VM that received it", "None; the line says where its time went.";
+    ORDER_COMMITTED = 2023 Info "Order of an operator was committed by the leader", "None; the line says where its time went.";
+    CURRENT = 2024 Info "This control VM's catalogue is current", "None; the line says whether it is from the log or a copy.";
+    NOT_CURRENT = 2025 Warn "This control VM's catalogue may be old; it serves no followers", "None if E2024 follows; otherwise check the control VMs and the network.";
     MEMBER_UP = 2101 Info "Entry VM joined or rejoined", "None.";
     MEMBER_DOWN = 2102 Warn "Entry VM evicted after it stopped responding", "Check the VM and its network.";
     MEMBER_LEFT = 2103 Info "Entry VM is leaving", "None.";
