--- a/src/catalog/tests/mod.rs
+++ b/src/catalog/tests/mod.rs
@@ -1,3 +1,5 @@
+mod copies;
+
 use {
     super::{
         Catalog, ChangeId, Configuration, Edit, Idempotency, Limits, Order, Route, Service,
--- a/src/handover/tests/mod.rs
+++ b/src/handover/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of where calls are handed over.
 
 mod evacuation;
+mod lanes;
 
 use {
     super::decide::{MAX_TRIES, Next, next},
