Pass on removals that a copy of the catalogue did not witness

Callers saw a route in force that the operator had dropped, requests at an upstream that had left, or a zone that stayed empty, at an entry VM that was behind and then followed a control VM whose copy had begun later.

Cause: a table that merges a patch recorded a removal only if it had the row, and a table that was replaced by a complete one began with no removals and a floor of 0. A copy that was begun after the insertion thus answered a follower that had the row with new rows only, at the newest revision; no later delta takes the row out. Class: a VM that answers from a history that it does not have.

Fix: a merge records every removal that is newer than the table, and a copy of a complete table has the revision of the copy as its floor, so that whoever is behind it receives the complete table. Nothing changes on the wire.

The same held for an entry VM that starts: it did not know which zones had been evacuated and taken back, so their upstreams had no slow start there.

--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -175,14 +175,15 @@
         if delta.since > self.revision || delta.revision <= self.revision {
             return false;
         }
-        self.revision = delta.revision;
+        let (since, until) = (self.revision, delta.revision);
+        self.revision = until;
         self.version = delta.version;
-        self.routes.merge(delta.routes);
-        self.services.merge(delta.services);
-        self.limits.merge(delta.limits);
-        self.emptied.merge(delta.emptied);
-        self.upstreams.merge(delta.upstreams);
-        self.charges.merge(delta.charges);
+        self.routes.merge(delta.routes, since, until);
+        self.services.merge(delta.services, since, until);
+        self.limits.merge(delta.limits, since, until);
+        self.emptied.merge(delta.emptied, since, until);
+        self.upstreams.merge(delta.upstreams, since, until);
+        self.charges.merge(delta.charges, since, until);
         true
     }
 }
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -100,18 +100,23 @@
                 self.rows[at].revision = revision;
             }
             Err(at) => {
-                self.gone.retain(|(_, removed)| removed != name);
                 let row = Row {
                     name: name.to_owned(),
                     revision,
                     value,
                 };
-                self.rows.insert(at, row);
+                self.insert(at, row);
             }
         }
         true
     }
 
+    /// Inserts a row at its place, and forgets that it was removed before.
+    fn insert(&mut self, at: usize, row: Row<T>) {
+        self.gone.retain(|(_, removed)| *removed != row.name);
+        self.rows.insert(at, row);
+    }
+
     /// Removes a row. Returns whether it existed.
     ///
     /// ```
@@ -130,6 +135,7 @@
     }
 
     fn record_removal(&mut self, revision: u64, name: String) {
+        self.gone.retain(|(_, removed)| *removed != name);
         self.gone.push((revision, name));
         if self.gone.len() > MAX_REMOVALS {
             let (floor, _) = self.gone.remove(0);
@@ -176,18 +182,30 @@
         }
     }
 
-    /// Applies the changes of another replica of the table.
-    pub fn merge(&mut self, patch: Patch<T>) {
+    /// Applies the changes of another replica of the table up to revision `until`; this one has those up to
+    /// `since`. Removals are recorded whether or not the row was here, as this table may be passed on to a
+    /// follower that has it.
+    pub(super) fn merge(&mut self, patch: Patch<T>, since: u64, until: u64) {
         if patch.whole {
-            *self = Self::default();
+            *self = Self {
+                // The removals that led to the complete table are not known here.
+                floor: until,
+                ..Self::default()
+            };
         }
         for (revision, name) in patch.gone {
-            self.remove(&name, revision);
+            if revision <= since {
+                continue;
+            }
+            if let Ok(at) = self.find(&name) {
+                self.rows.remove(at);
+            }
+            self.record_removal(revision, name);
         }
         for row in patch.rows {
             match self.find(&row.name) {
                 Ok(at) => self.rows[at] = row,
-                Err(at) => self.rows.insert(at, row),
+                Err(at) => self.insert(at, row),
             }
         }
     }
