Publish a catalogue only once it reaches the newest revision among its senders

Callers got 404 on a route, or requests ran as an older configuration says, at an entry VM whose pages came from two control VMs of different ages.

Cause: a page ends below the revision of its sender. A row that changed both below and above that end is in a later page only. If the next page came from a control VM that was behind the first one, the row was in neither, and the page was taken for the last one, as it reached the revision of its own sender. The same held for copies of control VMs that change the member they poll.

Fix: both followers keep the newest revision among the senders of the pages that they applied, and the catalogue counts as complete once it reaches that.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         pages::{self, Page, PageRequest, Standing, Want},
+        replica::Replica,
         settings::Settings,
         state::Catalog,
     },
@@ -67,11 +68,9 @@
 /// What was received so far, by both pollers.
 #[derive(Debug, Default)]
 pub(super) struct Received {
-    catalog: Arc<Catalog>,
+    replica: Replica,
     standing: Standing,
     standing_hash: u64,
-    /// Whether the latest page of rows was the last one, so that the catalogue is one that a control VM had.
-    is_complete: bool,
     /// Whether anything has changed since the last publication.
     has_changed: bool,
     /// Version of the configuration that was last published.
@@ -84,33 +83,30 @@
 impl Received {
     /// The catalogue, which lacks the rows of pages that have not arrived.
     pub(super) fn catalog(&self) -> &Arc<Catalog> {
-        &self.catalog
+        self.replica.catalog()
     }
 
-    /// Revision from which on changes are missing.
+    /// Revision after which changes are missing.
     pub(super) fn revision(&self) -> u64 {
-        self.catalog.revision
+        self.replica.revision()
     }
 
     /// Applies a page. Returns whether to publish what was received. A page of the other poller may arrive between
     /// two pages of rows; it must not publish a catalogue of which only some pages have arrived.
     pub(super) fn apply(&mut self, page: Page) -> bool {
-        let is_last = page.is_last();
-        if let Some(delta) = page.delta {
-            let catalog = &self.catalog;
-            let is_next = delta.since <= catalog.revision && delta.revision > catalog.revision;
-            if is_next && Arc::make_mut(&mut self.catalog).merge(delta) {
-                self.has_changed = true;
-                self.is_complete = is_last;
-                self.pages += 1;
-            }
+        if let Some(delta) = page.delta
+            && self.replica.apply(page.revision, delta)
+        {
+            self.has_changed = true;
+            self.pages += 1;
         }
         if let Some(standing) = page.standing {
             self.standing_hash = standing.hash();
             self.standing = standing;
             self.has_changed = true;
         }
-        let publishes = self.has_changed && self.is_complete;
+        let is_complete = self.revision() > 0 && self.replica.is_complete();
+        let publishes = self.has_changed && is_complete;
         self.has_changed &= !publishes;
         publishes
     }
--- a/src/catalog/mirror.rs
+++ b/src/catalog/mirror.rs
@@ -4,8 +4,8 @@
 use {
     super::{
         pages::{self, PageRequest, Standing, Want},
+        replica::Replica,
         serve::Source,
-        state::Catalog,
     },
     crate::{
         agree::{Followed, Message},
@@ -46,8 +46,7 @@
     setup: Setup,
     secret: Secret,
     source: Source,
-    /// The copy, which may lack the pages after the last one.
-    copy: Arc<Catalog>,
+    copy: Replica,
     standing: Standing,
     standing_hash: u64,
     is_reached: bool,
@@ -70,7 +69,7 @@
             setup,
             secret,
             source,
-            copy: Arc::default(),
+            copy: Replica::default(),
             standing: Standing::default(),
             standing_hash: 0,
             is_reached: false,
@@ -155,11 +154,11 @@
     async fn poll(&mut self, client: &Client) -> bool {
         // The agree duty may have published a newer one, received by the log.
         let published = Arc::clone(&self.source.policies.borrow().catalog);
-        if published.revision > self.copy.revision {
-            self.copy = published;
+        if published.revision > self.copy.revision() {
+            self.copy = Replica::new(published);
         }
         let request = PageRequest {
-            revision: self.copy.revision,
+            revision: self.copy.revision(),
             hold_ms: HOLD_MS,
             want: Want::Copy,
             standing: self.standing_hash,
@@ -168,20 +167,18 @@
             self.context.metrics.count("mirror_unreachable", 1);
             return false;
         };
-        let is_last = page.is_last();
         if let Some(standing) = page.standing {
             self.standing_hash = standing.hash();
             self.standing = standing;
         }
-        if let Some(delta) = page.delta
-            && delta.since <= self.copy.revision
-        {
-            Arc::make_mut(&mut self.copy).merge(delta);
+        if let Some(delta) = page.delta {
+            self.copy.apply(page.revision, delta);
         }
-        if is_last {
-            let is_new = self.copy.revision > self.source.policies.borrow().catalog.revision;
+        // All that the member knows has arrived.
+        if self.copy.is_complete() && self.copy.revision() >= page.revision {
+            let is_new = self.copy.revision() > self.source.policies.borrow().catalog.revision;
             let followed = Followed {
-                catalog: is_new.then(|| Arc::clone(&self.copy)),
+                catalog: is_new.then(|| Arc::clone(self.copy.catalog())),
                 control: Arc::new(self.standing.control.clone()),
                 leader: self.standing.leader,
                 valid_ms: VALID_MS,
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -14,6 +14,7 @@
 pub mod mirror;
 pub(crate) mod pages;
 pub mod receiver;
+mod replica;
 pub mod serve;
 pub mod settings;
 pub mod state;
--- a/src/catalog/pages.rs
+++ b/src/catalog/pages.rs
@@ -63,7 +63,7 @@
 /// Response to a follower.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Page {
-    /// Revision of the sender's catalogue; the page is the last one if its changes reach it.
+    /// Revision of the sender's catalogue; nothing is left after a page whose changes reach it.
     pub(crate) revision: u64,
     /// Changes after the follower's revision, if rows were asked for.
     pub(crate) delta: Option<Delta>,
@@ -72,12 +72,6 @@
 }
 
 impl Page {
-    /// Whether nothing is left after this page.
-    pub(crate) fn is_last(&self) -> bool {
-        let reached = self.delta.as_ref().map(|delta| delta.revision);
-        reached.is_none_or(|reached| reached >= self.revision)
-    }
-
     /// Number of rows of a page.
     pub(super) const ROWS: usize = PAGE_ROWS;
 }
--- a/src/catalog/tests/mod.rs
+++ b/src/catalog/tests/mod.rs
@@ -451,14 +451,18 @@
             ..Standing::default()
         }),
     };
+    let is_last = |page: &Page| {
+        let reached = page.delta.as_ref().map(|delta| delta.revision);
+        reached.is_none_or(|reached| reached >= page.revision)
+    };
     let mut received = Received::default();
     assert!(!received.apply(standing(Vec::new())));
     let page = rows(&received);
-    assert!(!page.is_last() && !received.apply(page));
+    assert!(!is_last(&page) && !received.apply(page));
     assert!(!received.apply(standing(Vec::new())));
     while received.revision() < catalog.revision {
         let page = rows(&received);
-        assert_eq!(page.is_last(), received.apply(page));
+        assert_eq!(is_last(&page), received.apply(page));
     }
     assert_eq!(received.catalog().upstreams.rows().len(), 10);
     assert!(received.apply(standing(Vec::new())));
