Let orders of operators pass reports of upstreams on their way to the log

An operator's order got no answer within the second for which its caller waits, after many upstreams came back at once.

Cause: a control VM hands at most 16 calls to the leader at a time, and orders, reads and reports shared them, first come first served and without a bound on the wait; a leader that answers slowly holds each of them for 900 ms. The leader's 1,024 pending commands were shared in the same way. Class: work that a person waits for queues behind work that machines repeat by themselves.

Fix: orders and reads of operators have calls of their own; a call that gets no permit within 400 ms is refused as busy, which is true, as it was not sent; 256 of the leader's pending commands are kept for operators.

--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -22,6 +22,8 @@
 
 /// Commands that may wait for a quorum at the same time.
 const MAX_PENDING_COMMANDS: usize = 1_024;
+/// Of these, commands that no operator gave: after an outage, upstreams report all at once.
+const MAX_PENDING_REPORTS: usize = 768;
 /// Messages that may wait for the disk at the same time.
 const MAX_HELD_MESSAGES: usize = 1_024;
 /// Largest command, as JSON; several have to fit into one message.
@@ -213,22 +215,28 @@
         step,
         operator_call,
         command,
-        MAX_COMMAND_BYTES,
+        (MAX_COMMAND_BYTES, MAX_PENDING_COMMANDS),
         Content::Command,
     );
 }
 
 fn submit_order(step: &mut Step<'_>, operator_call: OperatorCallKey, order: &Order) {
-    submit_content(step, operator_call, order, MAX_ORDER_BYTES, Content::Order);
+    let max_pending = if order.summary().is_some() {
+        MAX_PENDING_COMMANDS
+    } else {
+        MAX_PENDING_REPORTS
+    };
+    let limits = (MAX_ORDER_BYTES, max_pending);
+    submit_content(step, operator_call, order, limits, Content::Order);
 }
 
 /// Appends `content` to the log if this replica leads, the content is at most `max_bytes` long as
-/// JSON, and not too many commands are pending.
+/// JSON, and fewer than `max_pending` commands are pending.
 fn submit_content(
     step: &mut Step<'_>,
     operator_call: OperatorCallKey,
     content: impl Serialize,
-    max_bytes: usize,
+    (max_bytes, max_pending): (usize, usize),
     wrap: impl FnOnce(Bytes) -> Content,
 ) {
     if let Some(reason) = step.refusal() {
@@ -254,7 +262,7 @@
             result,
         });
     }
-    if pending >= MAX_PENDING_COMMANDS {
+    if pending >= max_pending {
         let result = Err(Unavailable::Busy);
         return step.effects.push(Effect::ReplySubmit {
             operator_call,
--- a/src/agree/tests/scripted.rs
+++ b/src/agree/tests/scripted.rs
@@ -3,13 +3,19 @@
 use {
     super::{
         super::{
-            decide::{Input, is_current},
+            decide::{self, Effect, Input, is_current},
             member,
-            messages::MemberChange,
+            messages::{MemberChange, Unavailable},
         },
         world::{World, address},
     },
-    crate::{clock::Micros, storage::Ack},
+    crate::{
+        catalog::{Order, tests::upstream},
+        clock::Micros,
+        keys::OperatorCallKey,
+        storage::Ack,
+    },
+    slotmap::SlotMap,
 };
 
 const FOUNDERS: usize = 3;
@@ -429,3 +435,46 @@
     assert_eq!(refused, 1);
     accept_commands(&mut world, 2);
 }
+
+/// Guards against an operator's order that is refused because the reports of upstreams fill the leader.
+#[test]
+fn reports_of_upstreams_leave_room_for_orders_of_operators() {
+    let mut world = bootstrapped(7);
+    accept_commands(&mut world, 1);
+    let leader = world.leader().unwrap();
+    let mut state = world.nodes[leader].state.clone().unwrap();
+    let now = world.clock(leader);
+    let mut calls: SlotMap<OperatorCallKey, ()> = SlotMap::default();
+    let mut is_refused = |order: Order| {
+        let operator_call = calls.insert(());
+        let order = Box::new(order);
+        let input = Input::Order {
+            operator_call,
+            order,
+        };
+        let effects = decide::step(&mut state, input, now, 0);
+        effects.iter().any(|effect| {
+            let Effect::ReplySubmit { result, .. } = effect else {
+                return false;
+            };
+            matches!(result, Err(Unavailable::Busy))
+        })
+    };
+    let report = |number: u64| Order::Report {
+        id: "u".to_owned(),
+        upstream: upstream("10.0.0.1:80", 1, number),
+    };
+    let mut reports = 0;
+    while !is_refused(report(reports)) {
+        reports += 1;
+        assert!(reports < 2_000);
+    }
+    let evacuate = || Order::Evacuate {
+        zone: "north-a".to_owned(),
+        on: true,
+        base: Some(0),
+    };
+    for _ in 0..200 {
+        assert!(!is_refused(evacuate()), "after {reports} reports");
+    }
+}
--- a/src/handover/thread.rs
+++ b/src/handover/thread.rs
@@ -38,8 +38,10 @@
 
 /// Timeout of a call to the leader: callers wait for a second, and then call another control VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Calls to the leader at the same time, each on a connection of its own.
+/// Calls to the leader at the same time in each lane, each on a connection of its own.
 const MAX_CALLS: usize = 16;
+/// Time for which a call waits for others of its lane to end: less than callers wait.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which a call waits while there is no leader: less than callers wait.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which orders wait for others to be handed over with them, and how many are handed over at once.
@@ -65,7 +67,15 @@
 struct Duty {
     deps: Dependencies,
     clients: Rc<RefCell<Sorted<SocketAddr, Client>>>,
-    calls: Rc<Semaphore>,
+    lanes: Rc<Lanes>,
+}
+
+/// Permits for calls to the leader.
+struct Lanes {
+    /// Orders and reads of operators, of which there are few.
+    operators: Semaphore,
+    /// Orders that follow from the reports of upstreams, of which there are many after an outage.
+    upstreams: Semaphore,
 }
 
 /// Starts the duty, which exits when `receiver` closes.
@@ -80,7 +90,10 @@
     let duty = Duty {
         deps,
         clients: Rc::default(),
-        calls: Rc::new(Semaphore::new(MAX_CALLS)),
+        lanes: Rc::new(Lanes {
+            operators: Semaphore::new(MAX_CALLS),
+            upstreams: Semaphore::new(MAX_CALLS),
+        }),
     };
     while let Some(first) = receiver.recv().await {
         time::sleep(BATCH_INTERVAL).await;
@@ -147,6 +160,12 @@
 
     /// Submits orders, and those again that were provably not accepted because the leader changed.
     async fn orders(&self, mut pending: Vec<PendingOrder>) {
+        let has_operators = pending.iter().any(|(order, _)| order.summary().is_some());
+        let lane = if has_operators {
+            &self.lanes.operators
+        } else {
+            &self.lanes.upstreams
+        };
         let mut spent = Spent::default();
         self.wait_for_leader(&mut spent).await;
         let mut last = None;
@@ -163,7 +182,9 @@
                 Next::Remote(leader) => {
                     let count = orders.len();
                     let handed = HandedOrders { orders };
-                    let called = self.call(leader, ORDERS_METHOD, &handed, &mut spent).await;
+                    let called = self
+                        .call(leader, (ORDERS_METHOD, &handed), lane, &mut spent)
+                        .await;
                     called.unwrap_or_else(|reason| vec![Err(reason); count])
                 }
                 Next::Fail(reason) => vec![Err(reason); orders.len()],
@@ -239,6 +260,7 @@
 
     /// Revision of the newest catalogue, confirmed by a quorum.
     async fn revision(&self) -> Result<u64, Unavailable> {
+        let lane = &self.lanes.operators;
         let mut spent = Spent::default();
         self.wait_for_leader(&mut spent).await;
         let mut last = None;
@@ -247,7 +269,8 @@
                 Next::Local => serve::read(&self.deps.source.ring).await,
                 Next::Remote(leader) => {
                     let handed = HandedRead {};
-                    self.call(leader, READ_METHOD, &handed, &mut spent).await
+                    self.call(leader, (READ_METHOD, &handed), lane, &mut spent)
+                        .await
                 }
                 Next::Fail(reason) => return Err(reason),
             };
@@ -273,14 +296,18 @@
     async fn call<T: DeserializeOwned>(
         &self,
         leader: SocketAddr,
-        method: &str,
-        params: &impl Serialize,
+        (method, params): (&str, &impl Serialize),
+        lane: &Semaphore,
         spent: &mut Spent,
     ) -> Result<T, Unavailable> {
         let since = Instant::now();
-        // The semaphore is never closed.
-        let _permit = self.calls.acquire().await;
+        let permit = time::timeout(PERMIT_TIMEOUT, lane.acquire()).await;
         spent.permit += since.elapsed();
+        // The semaphore is never closed.
+        let Ok(Ok(_permit)) = permit else {
+            self.deps.context.metrics.count("handover_full", 1);
+            return Err(Unavailable::Busy);
+        };
         let Some(client) = self.client(leader) else {
             return Err(Unavailable::Busy);
         };
