Accept configurations of thousands of routes, and refuse what is too large with 413

Cause: the log bounded an order to 448 KiB as JSON, since two hexadecimal digits a byte must fit into 1 MiB. An order holds each route twice, parsed and as the operator's text, so that 1,400 routes exceed it. The bound was not documented and was reported as a malformed command. Class: a bound that follows from an encoding, and is met only when a deployment grows.

Fix: a larger order is compressed on its way to the leader and in its entry of the log (1,400 routes take 41 KB), and is carried between control VMs in an envelope that earlier versions cannot read, as they would skip the entry. What is too large for any bound is Rejection:: TooLarge, which is 413; the listener reads up to 16 MiB of such a body, so that its answer is not lost with a reset.

--- a/src/agree/apply.rs
+++ b/src/agree/apply.rs
@@ -6,6 +6,7 @@
         decide::{Effect, Note, Step},
         elect,
         messages::SubmitResult,
+        size,
         state::{PendingSubmit, State, Timing, decode_content},
         wire::{Content, Image, Members},
     },
@@ -40,6 +41,10 @@
     match decode_content(entry) {
         Some(Content::Command(json)) => command(step, entry.at, &json),
         Some(Content::Order(json)) => order(step, entry.at, &json),
+        Some(Content::PackedOrder(packed)) => {
+            let json = size::unpack(&packed).unwrap_or_default();
+            order(step, entry.at, &json);
+        }
         Some(Content::Members(members)) => members_changed(step, entry.at.index, &members),
         Some(Content::Nothing) | None => {}
     }
--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -4,7 +4,7 @@
     super::{
         apply, elect, install, join, member,
         messages::{MemberChange, SubmitResult, Unavailable},
-        placement, replicate,
+        placement, replicate, size,
         state::{HeldMessage, PendingSubmit, Role, State, Timing},
         wire::{Body, Content, Envelope, Promise},
     },
@@ -15,7 +15,6 @@
         policy::{Command, Rejection},
         storage::{Ack, Batch, Entry, Position},
     },
-    bytes::Bytes,
     serde::Serialize,
     std::net::SocketAddr,
 };
@@ -28,11 +27,6 @@
 const MAX_HELD_MESSAGES: usize = 1_024;
 /// Largest command, as JSON; several have to fit into one message.
 const MAX_COMMAND_BYTES: usize = 16 << 10;
-/// Largest change of the catalogue, as JSON. A configuration of 350 routes takes 90 KB. The
-/// hexadecimal encoding of a message takes twice the bytes of its payload, and a peer listener
-/// accepts at most 1 MiB.
-const MAX_ORDER_BYTES: usize = 448 << 10;
-
 /// Input of a replica.
 #[derive(Clone, Debug)]
 pub(super) enum Input {
@@ -215,8 +209,11 @@
         step,
         operator_call,
         command,
-        (MAX_COMMAND_BYTES, MAX_PENDING_COMMANDS),
-        Content::Command,
+        MAX_PENDING_COMMANDS,
+        |json| match json.len() {
+            bytes if bytes > MAX_COMMAND_BYTES => Err(size::too_large(bytes, MAX_COMMAND_BYTES)),
+            _ => Ok(Content::Command(json.into())),
+        },
     );
 }
 
@@ -226,18 +223,25 @@
     } else {
         MAX_PENDING_REPORTS
     };
-    let limits = (MAX_ORDER_BYTES, max_pending);
-    submit_content(step, operator_call, order, limits, Content::Order);
+    submit_content(step, operator_call, order, max_pending, order_content);
+}
+
+/// Content of the entry of a change of the catalogue.
+fn order_content(json: Vec<u8>) -> Result<Content, Rejection> {
+    let packed = size::pack_large(&json)?;
+    Ok(match packed {
+        Some(packed) => Content::PackedOrder(packed.into()),
+        None => Content::Order(json.into()),
+    })
 }
 
-/// Appends `content` to the log if this replica leads, the content is at most `max_bytes` long as
-/// JSON, and fewer than `max_pending` commands are pending.
+/// Appends `content` to the log if this replica leads, `wrap` accepts its JSON, and fewer than `max_pending` commands are pending.
 fn submit_content(
     step: &mut Step<'_>,
     operator_call: OperatorCallKey,
     content: impl Serialize,
-    (max_bytes, max_pending): (usize, usize),
-    wrap: impl FnOnce(Bytes) -> Content,
+    max_pending: usize,
+    wrap: impl FnOnce(Vec<u8>) -> Result<Content, Rejection>,
 ) {
     if let Some(reason) = step.refusal() {
         let result = Err(reason);
@@ -254,14 +258,16 @@
             result: Err(Unavailable::Busy),
         });
     };
-    if json.len() > max_bytes {
-        let findings = vec![format!("command: expected at most {max_bytes} bytes")];
-        let result = Ok(Err(Rejection::Invalid { findings }));
-        return step.effects.push(Effect::ReplySubmit {
-            operator_call,
-            result,
-        });
-    }
+    let content = match wrap(json) {
+        Ok(content) => content,
+        Err(rejection) => {
+            let result = Ok(Err(rejection));
+            return step.effects.push(Effect::ReplySubmit {
+                operator_call,
+                result,
+            });
+        }
+    };
     if pending >= max_pending {
         let result = Err(Unavailable::Busy);
         return step.effects.push(Effect::ReplySubmit {
@@ -269,13 +275,14 @@
             result,
         });
     }
+    let at = step.push(&content);
+    let entry = step.state.log.get(at.index);
     let timing = Timing {
-        bytes: json.len(),
+        bytes: entry.map_or(0, |entry| entry.content.len()),
         ahead: pending,
         since: step.now,
         ..Timing::default()
     };
-    let at = step.push(&wrap(json.into()));
     if let Some(leader_state) = step.state.leader_state() {
         leader_state.submits.push_back(PendingSubmit {
             at,
--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod replicate;
 pub mod settings;
+pub(crate) mod size;
 mod state;
 #[cfg(test)]
 mod tests;
--- a/src/agree/transport.rs
+++ b/src/agree/transport.rs
@@ -2,7 +2,10 @@
 //! too.
 
 use {
-    super::{messages::Message, wire::Envelope},
+    super::{
+        messages::Message,
+        wire::{Body, Content, Envelope},
+    },
     crate::{
         context::Context,
         duty,
@@ -10,6 +13,7 @@
         ring::Sender,
         sorted::Sorted,
     },
+    base64::{Engine, prelude::BASE64_STANDARD},
     jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
     std::{io, net::SocketAddr, thread::JoinHandle, time::Duration},
@@ -35,7 +39,10 @@
 /// not wait.
 pub type PacketSender = mpsc::Sender<Packet>;
 
-/// An envelope in postcard encoding, as hexadecimal digits.
+/// First character of an envelope that versions without compressed orders must not read.
+const PACKED_MARK: char = '=';
+
+/// An envelope in postcard encoding, as hexadecimal digits; one with compressed orders as base64 after a mark.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct EncodedEnvelope {
@@ -158,6 +165,11 @@
 fn encode(envelope: &Envelope) -> Option<String> {
     const DIGITS: &[u8; 16] = b"0123456789abcdef";
     let bytes = postcard::to_stdvec(envelope).ok()?;
+    if has_packed_orders(envelope) {
+        let mut text = String::from(PACKED_MARK);
+        BASE64_STANDARD.encode_string(bytes, &mut text);
+        return Some(text);
+    }
     let digit = |value: u8| char::from(DIGITS[usize::from(value)]);
     let pairs = bytes
         .iter()
@@ -167,6 +179,13 @@
     Some(text)
 }
 
+fn has_packed_orders(envelope: &Envelope) -> bool {
+    let Body::Append { entries, .. } = &envelope.body else {
+        return false;
+    };
+    entries.iter().any(|row| Content::is_packed(&row.content))
+}
+
 fn value(digit: u8) -> Option<u8> {
     match digit {
         b'0'..=b'9' => Some(digit - b'0'),
@@ -176,6 +195,10 @@
 }
 
 fn decode(text: &str) -> Option<Envelope> {
+    if let Some(text) = text.strip_prefix(PACKED_MARK) {
+        let bytes = BASE64_STANDARD.decode(text).ok()?;
+        return postcard::from_bytes(&bytes).ok();
+    }
     let byte = |pair: &[u8]| match pair {
         [high, low] => Some(value(*high)? << 4 | value(*low)?),
         _ => None,
--- a/src/agree/wire.rs
+++ b/src/agree/wire.rs
@@ -77,6 +77,16 @@
     Members(Members),
     /// A change of the catalogue as JSON.
     Order(Bytes),
+    /// The same, compressed. Earlier versions do not know it and would skip it, so it travels in envelopes that
+    /// they cannot read (`transport`).
+    PackedOrder(Bytes),
+}
+
+impl Content {
+    /// Whether `bytes` is a compressed order in postcard encoding, which begins with the number of the variant.
+    pub(super) fn is_packed(bytes: &[u8]) -> bool {
+        bytes.first() == Some(&4)
+    }
 }
 
 /// Content of a snapshot.
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -277,14 +277,13 @@
     fn apply(&self, page: Page, address: SocketAddr) {
         let mut received = self.received.borrow_mut();
         let publishes = received.apply(page);
-        if received.pages == 0 {
-            received.began = None;
+        if received.pages > 0 {
+            received.began.get_or_insert_with(Instant::now);
         }
-        let began = *received.began.get_or_insert_with(Instant::now);
         if !publishes {
             return;
         }
-        received.began = None;
+        let took = received.began.take().map(|began| began.elapsed());
         let pages = std::mem::take(&mut received.pages);
         let catalog = Arc::clone(received.catalog());
         if catalog.version != received.version {
@@ -294,7 +293,7 @@
                 Event::CONFIG_APPLIED,
                 format_args!(
                     "version {version}, revision {revision}, {pages} pages in {} ms, the last from {address}",
-                    began.elapsed().as_millis()
+                    took.unwrap_or_default().as_millis()
                 ),
             );
         }
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -14,6 +14,9 @@
     tokio::time,
 };
 
+/// Bytes of a body above the limit that are read and discarded before the response is sent.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+
 /// A request, with its complete body.
 #[derive(Clone, Debug)]
 pub struct Incoming {
@@ -120,10 +123,13 @@
 
 async fn read_body(limits: &Limits, body: Body) -> Result<Bytes, Outgoing> {
     let timeout = Duration::from_millis(limits.body_ms);
-    let collected = time::timeout(timeout, Limited::new(body, limits.body_bytes).collect()).await;
+    let mut body = body;
+    let limited = Limited::new(&mut body, limits.body_bytes).collect();
+    let collected = time::timeout(timeout, limited).await;
     match collected {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let _ = time::timeout(timeout, discard(&mut body)).await;
             Err(Outgoing::refusal(413, "too_large").with_connection_close())
         }
         Ok(Err(_)) => Err(Outgoing::refusal(400, "malformed").with_connection_close()),
@@ -131,6 +137,18 @@
     }
 }
 
+/// Reads the rest of a body, up to a bound: a response that is sent before its caller has sent the body is lost if
+/// the connection is reset for the bytes that nobody reads.
+async fn discard(body: &mut Body) {
+    let mut bytes = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        bytes += frame.data_ref().map_or(0, Bytes::len);
+        if bytes > MAX_DISCARDED_BYTES {
+            return;
+        }
+    }
+}
+
 fn header((name, value): (&HeaderName, &HeaderValue)) -> Header {
     Header {
         name: Bytes::copy_from_slice(name.as_str().as_bytes()),
--- a/src/handover/serve.rs
+++ b/src/handover/serve.rs
@@ -2,11 +2,13 @@
 
 use {
     crate::{
-        agree::{Message, SubmitResult, Unavailable},
+        agree::{Message, SubmitResult, Unavailable, size},
         catalog::Order,
         edge::rpc,
+        policy::Rejection,
         ring::Sender,
     },
+    base64::{Engine, prelude::BASE64_STANDARD},
     jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
     tokio::sync::oneshot,
@@ -14,6 +16,8 @@
 
 /// Method that submits orders to the leader's log.
 pub(super) const ORDERS_METHOD: &str = "handover.orders";
+/// Method that does the same with compressed orders.
+pub(super) const PACKED_ORDERS_METHOD: &str = "handover.packed_orders";
 /// Method that returns the revision of the newest catalogue, confirmed by a quorum.
 pub(super) const READ_METHOD: &str = "handover.read";
 
@@ -23,6 +27,39 @@
     pub(super) orders: Vec<Order>,
 }
 
+/// Orders that were handed over together, as compressed JSON in base64.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct PackedOrders {
+    packed: String,
+}
+
+impl HandedOrders {
+    /// The orders compressed, if they are too large for a message otherwise.
+    ///
+    /// # Errors
+    /// They are too large also when compressed.
+    pub(super) fn packed(&self) -> Result<Option<PackedOrders>, Rejection> {
+        // Only configurations are large.
+        let is_configuration = |order: &Order| matches!(order, Order::Configure { .. });
+        if !self.orders.iter().any(is_configuration) {
+            return Ok(None);
+        }
+        let json = serde_json::to_vec(self).unwrap_or_default();
+        let packed = size::pack_large(&json)?;
+        Ok(packed.map(|packed| PackedOrders {
+            packed: BASE64_STANDARD.encode(packed),
+        }))
+    }
+}
+
+impl PackedOrders {
+    fn unpack(&self) -> Option<HandedOrders> {
+        let packed = BASE64_STANDARD.decode(&self.packed).ok()?;
+        let json = size::unpack(&packed)?;
+        serde_json::from_slice(&json).ok()
+    }
+}
+
 /// A read that was handed over.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct HandedRead {}
@@ -44,6 +81,19 @@
             Ok::<Result<Vec<SubmitResult>, Unavailable>, ErrorObjectOwned>(Ok(results))
         }
     })?;
+    let packed = ring.clone();
+    module.register_async_method(PACKED_ORDERS_METHOD, move |params, _, _| {
+        let ring = packed.clone();
+        async move {
+            let packed: PackedOrders = rpc::params(&params)?;
+            let Some(handed) = packed.unpack() else {
+                let text = "packed: expected compressed orders";
+                return Err(rpc::error(rpc::INVALID_PARAMS, text, ()));
+            };
+            let results = submit(&ring, handed.orders).await;
+            Ok::<Result<Vec<SubmitResult>, Unavailable>, ErrorObjectOwned>(Ok(results))
+        }
+    })?;
     module.register_async_method(READ_METHOD, move |params, _, _| {
         let ring = ring.clone();
         async move {
--- a/src/handover/thread.rs
+++ b/src/handover/thread.rs
@@ -5,7 +5,7 @@
         decide::{self, Next},
         evacuate::{Evacuation, Step},
         messages::{Message, ReadResult},
-        serve::{self, HandedOrders, HandedRead, ORDERS_METHOD, READ_METHOD},
+        serve::{self, HandedOrders, HandedRead, ORDERS_METHOD, PACKED_ORDERS_METHOD, READ_METHOD},
         spent::{Spent, outcome},
     },
     crate::{
@@ -182,9 +182,7 @@
                 Next::Remote(leader) => {
                     let count = orders.len();
                     let handed = HandedOrders { orders };
-                    let called = self
-                        .call(leader, (ORDERS_METHOD, &handed), lane, &mut spent)
-                        .await;
+                    let called = self.hand_over(leader, &handed, lane, &mut spent).await;
                     called.unwrap_or_else(|reason| vec![Err(reason); count])
                 }
                 Next::Fail(reason) => vec![Err(reason); orders.len()],
@@ -219,6 +217,27 @@
         }
     }
 
+    /// Hands orders over to the leader.
+    async fn hand_over(
+        &self,
+        leader: SocketAddr,
+        handed: &HandedOrders,
+        lane: &Semaphore,
+        spent: &mut Spent,
+    ) -> Result<Vec<SubmitResult>, Unavailable> {
+        match handed.packed() {
+            Ok(None) => {
+                let call = (ORDERS_METHOD, handed);
+                self.call(leader, call, lane, spent).await
+            }
+            Ok(Some(packed)) => {
+                let call = (PACKED_ORDERS_METHOD, &packed);
+                self.call(leader, call, lane, spent).await
+            }
+            Err(rejection) => Ok(vec![Ok(Err(rejection)); handed.orders.len()]),
+        }
+    }
+
     async fn submit(&self, order: Order) -> SubmitResult {
         let (tx, rx) = oneshot::channel();
         let reply = Box::new(move |result| drop(tx.send(result)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod context;
 pub mod duty;
 pub mod keys;
+pub(crate) mod pack;
 pub mod ring;
 pub mod settings;
 pub mod sorted;
--- a/src/policy/messages.rs
+++ b/src/policy/messages.rs
@@ -168,6 +168,13 @@
         /// The limit that would be exceeded, and the sum.
         detail: String,
     },
+    /// The command is larger than the log accepts.
+    TooLarge {
+        /// Its size in bytes, as it would be stored.
+        bytes: u64,
+        /// Largest size that is accepted.
+        max: u64,
+    },
     /// Nothing of that name exists to be changed or ended.
     NotFound {
         /// Description of what does not exist.
@@ -189,6 +196,9 @@
             Self::IdReused { id } => write!(f, "command id {id} was used for another command"),
             Self::Invalid { findings } => write!(f, "{}", findings.join("; ")),
             Self::OverLimit { detail } => write!(f, "{detail}"),
+            Self::TooLarge { bytes, max } => {
+                write!(f, "command of {bytes} bytes: expected at most {max}")
+            }
             Self::NotFound { what } => write!(f, "{what} does not exist"),
         }
     }
