Count a copy of the catalogue as current no longer than the member that it copies

A follower could act on a configuration up to 1.4 + 1.5 s after its control VM's side was cut off, which with a change of control VMs is more than the 2.5 to 3 s within which a change has to be in force.

Cause: a member counts as current for two election time-outs after it heard from the leader, and a copy of its catalogue counted as current for another 1.5 s after the member's response. Class: an age that begins anew at each hop.

Fix: a page for a copy says for how long the member's catalogue is current without further news, and the copy is current for that time, 1.5 s at most. The time travels beside the compact encoding; members of earlier versions send none and get the old bound.

Evidence: a_copy_is_current_no_longer_than_the_catalogue_of_its_member failed before (1,500 ms, 600 left). Copies exist on deployments of more than nine control VMs only.

--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -195,13 +195,23 @@
 /// time-outs contained everything that the leader reported as committed. Until an entry of its own term is
 /// committed, a leader does not know all that its predecessors committed, and neither do its followers.
 pub(super) fn is_current(state: &State, now: Micros) -> bool {
+    now < current_until(state, now)
+}
+
+/// Time until which the local configuration is current if nothing more is heard of the leader; zero if it is not.
+pub(super) fn current_until(state: &State, now: Micros) -> Micros {
     if state.log.term_at(state.commit) != Some(state.hard.term) {
-        return false;
+        return Micros(0);
+    }
+    let since = if state.is_leader() {
+        now
+    } else {
+        state.caught_up_at
+    };
+    if since == Micros(0) {
+        return Micros(0);
     }
-    let until = state
-        .caught_up_at
-        .plus_millis(2 * state.settings.election_ms);
-    state.is_leader() || (state.caught_up_at > Micros(0) && now < until)
+    since.plus_millis(2 * state.settings.election_ms)
 }
 
 fn submit(step: &mut Step<'_>, operator_call: OperatorCallKey, command: &Command) {
--- a/src/agree/thread.rs
+++ b/src/agree/thread.rs
@@ -22,7 +22,16 @@
         storage::{self, Position, Recovered, Report},
     },
     slotmap::SlotMap,
-    std::{io, net::SocketAddr, sync::Arc, thread::JoinHandle, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        thread::JoinHandle,
+        time::Duration,
+    },
     tokio::sync::watch,
 };
 
@@ -60,6 +69,8 @@
     pub is_current: watch::Sender<bool>,
     /// Whether it receives them by the log, not from a member that it follows.
     pub is_led: watch::Sender<bool>,
+    /// Time in microseconds on the process's clock until which it does so if nothing more is heard of the leader.
+    pub led_until: Arc<AtomicU64>,
     /// Peer listeners of the members.
     pub members: watch::Sender<Arc<Vec<SocketAddr>>>,
     /// All control VMs, in ascending order of address.
@@ -250,7 +261,9 @@
 
     /// Publishes whether this replica is current, the members, all control VMs and the leader.
     fn publish_standing(&mut self, now: Micros) {
-        let is_led = decide::is_current(&self.state, now);
+        let led_until = decide::current_until(&self.state, now);
+        self.outputs.led_until.store(led_until.0, Ordering::Relaxed);
+        let is_led = now < led_until;
         let is_current = is_led || now < self.state.followed_until;
         let was = (
             *self.outputs.is_led.borrow(),
--- a/src/catalog/mirror.rs
+++ b/src/catalog/mirror.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        pages::{self, PageRequest, Standing, Want},
+        pages::{self, Page, PageRequest, Standing, Want},
         replica::Replica,
         serve::Source,
     },
@@ -23,8 +23,8 @@
 /// Response timeout beyond that: three round trips between distant regions, and as long again for a busy
 /// member.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(700);
-/// Milliseconds for which a copy is current after a response: the next response and its loss.
-const VALID_MS: u64 = 1_500;
+/// Maximum time in milliseconds for which a copy is current after a response: the next response and its loss.
+const MAX_VALID_MS: u64 = 1_500;
 /// Time without a leader after which a member copies too: two elections.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Delay after a failed poll.
@@ -167,6 +167,7 @@
             self.context.metrics.count("mirror_unreachable", 1);
             return false;
         };
+        let valid_ms = valid_ms(&page);
         if let Some(standing) = page.standing {
             self.standing_hash = standing.hash();
             self.standing = standing;
@@ -181,7 +182,7 @@
                 catalog: is_new.then(|| Arc::clone(self.copy.catalog())),
                 control: Arc::new(self.standing.control.clone()),
                 leader: self.standing.leader,
-                valid_ms: VALID_MS,
+                valid_ms,
             };
             // With a full ring, the copy expires and the next poll repeats it.
             let _ = self.source.ring.offer(Message::Followed(followed));
@@ -189,3 +190,9 @@
         true
     }
 }
+
+/// Milliseconds for which a copy is current after this page. The member's own catalogue may be as old as its lease
+/// allows, so the copy gets what is left of that; otherwise the ages of both would add up.
+pub(super) fn valid_ms(page: &Page) -> u64 {
+    page.valid_ms.unwrap_or(MAX_VALID_MS).min(MAX_VALID_MS)
+}
--- a/src/catalog/pages.rs
+++ b/src/catalog/pages.rs
@@ -69,6 +69,10 @@
     pub(crate) delta: Option<Delta>,
     /// The standing, if it differs from the follower's.
     pub(crate) standing: Option<Standing>,
+    /// Milliseconds for which a copy is current, if one was asked for; not known of senders of earlier versions.
+    /// Outside the compact encoding, which names no fields.
+    #[serde(skip)]
+    pub(crate) valid_ms: Option<u64>,
 }
 
 impl Page {
@@ -80,18 +84,25 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct EncodedPage {
     page: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    valid_ms: Option<u64>,
 }
 
 pub(super) fn encode(page: &Page) -> EncodedPage {
     let bytes = postcard::to_stdvec(page).unwrap_or_default();
     EncodedPage {
         page: BASE64_STANDARD.encode(bytes),
+        valid_ms: page.valid_ms,
     }
 }
 
 pub(super) fn decode(encoded: &EncodedPage) -> Option<Page> {
     let bytes = BASE64_STANDARD.decode(&encoded.page).ok()?;
-    postcard::from_bytes(&bytes).ok()
+    let page: Page = postcard::from_bytes(&bytes).ok()?;
+    Some(Page {
+        valid_ms: encoded.valid_ms,
+        ..page
+    })
 }
 
 /// Polls a control VM for the next page.
--- a/src/catalog/serve.rs
+++ b/src/catalog/serve.rs
@@ -12,6 +12,7 @@
     crate::{
         agree::{ControlVm, Message},
         beacon::LiveEntries,
+        clock::{Clock, Micros},
         edge::rpc::{self, UNAVAILABLE},
         policy::Policy,
         ring::Sender,
@@ -20,7 +21,10 @@
     serde::{Deserialize, Serialize},
     std::{
         net::SocketAddr,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{sync::watch, time},
@@ -77,6 +81,10 @@
     pub is_current: watch::Receiver<bool>,
     /// Whether it receives them by the log, not from a member that it follows.
     pub is_led: watch::Receiver<bool>,
+    /// Time in microseconds on `clock` until which it does so if nothing more is heard of the leader.
+    pub led_until: Arc<AtomicU64>,
+    /// The process's clock.
+    pub clock: Clock,
     /// Peer listeners of the members.
     pub members: watch::Receiver<Arc<Vec<SocketAddr>>>,
     /// All control VMs, in ascending order of address.
@@ -92,6 +100,14 @@
 }
 
 impl Source {
+    /// Milliseconds for which a copy of the catalogue of this control VM is current: as long as the catalogue
+    /// itself is.
+    fn valid_ms(&self) -> u64 {
+        let until = Micros(self.led_until.load(Ordering::Relaxed));
+        let left = until.since(self.clock.now()).as_millis();
+        u64::try_from(left).unwrap_or(u64::MAX)
+    }
+
     /// Records a report that this control VM received. Returns whether it must go through the log: it changes what
     /// entry VMs act on.
     #[must_use]
@@ -140,15 +156,18 @@
 
 /// Waits until the catalogue is newer than the follower's, and then for further changes, so that a release
 /// or the first reports of many upstreams take one response in place of many.
-async fn page(source: Source, request: PageRequest) -> Result<EncodedPage, ErrorObjectOwned> {
+pub(super) async fn page(
+    source: Source,
+    request: PageRequest,
+) -> Result<EncodedPage, ErrorObjectOwned> {
     let unavailable = || {
         let text = "this control VM receives no updates";
         Err(rpc::error(UNAVAILABLE, text, ()))
     };
     let mut is_served = if request.want == Want::Copy {
-        source.is_led
+        source.is_led.clone()
     } else {
-        source.is_current
+        source.is_current.clone()
     };
     let hold = Duration::from_millis(request.hold_ms);
     let mut policies = source.policies.clone();
@@ -190,6 +209,7 @@
         revision: catalog.revision,
         delta,
         standing: is_new.then_some(standing),
+        valid_ms: (request.want == Want::Copy).then(|| source.valid_ms()),
     }))
 }
 
--- a/src/catalog/tests/copies.rs
+++ b/src/catalog/tests/copies.rs
@@ -6,11 +6,17 @@
         catalog::{
             Catalog, Order, apply,
             follow::Received,
-            pages::Page,
+            last_reports::LastReports,
+            mirror::valid_ms,
+            pages::{self, Page, PageRequest, Want},
+            serve::{self, Source},
             table::{MAX_REMOVALS, Table},
         },
-        fuzz,
+        clock::Clock,
+        fuzz, ring,
     },
+    std::sync::{Arc, atomic::AtomicU64},
+    tokio::sync::watch,
 };
 
 /// A VM that receives pages: a follower, or a control VM that serves the catalogue that it published last.
@@ -28,6 +34,7 @@
             revision: source.revision,
             delta: (source.revision > revision).then(|| source.page(revision, rows)),
             standing: None,
+            valid_ms: None,
         };
         let publishes = self.received.apply(page);
         if publishes {
@@ -202,3 +209,40 @@
         }
     });
 }
+
+/// Guards against a copy that counts as current for its own time on top of that of the member that it copies.
+#[test]
+fn a_copy_is_current_no_longer_than_the_catalogue_of_its_member() {
+    const LEFT_MS: u64 = 600;
+    let clock = Clock::start();
+    let until = clock.now().plus_millis(LEFT_MS);
+    let (ring, _) = ring::bounded(1);
+    let source = Source {
+        policies: watch::channel(Arc::default()).1,
+        is_current: watch::channel(true).1,
+        is_led: watch::channel(true).1,
+        led_until: Arc::new(AtomicU64::new(until.0)),
+        clock,
+        members: watch::channel(Arc::default()).1,
+        control: watch::channel(Arc::default()).1,
+        leader: watch::channel(None).1,
+        entries: watch::channel(Arc::default()).1,
+        last_reports: LastReports::default(),
+        ring,
+    };
+    let request = PageRequest {
+        revision: 0,
+        hold_ms: 50,
+        want: Want::Copy,
+        standing: 0,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap();
+    let encoded = runtime.block_on(serve::page(source, request)).unwrap();
+    // As it travels between two control VMs.
+    let text = serde_json::to_string(&encoded).unwrap();
+    let page = pages::decode(&serde_json::from_str(&text).unwrap()).unwrap();
+    assert!(valid_ms(&page) <= LEFT_MS, "{}", valid_ms(&page));
+}
--- a/src/catalog/tests/mod.rs
+++ b/src/catalog/tests/mod.rs
@@ -442,6 +442,7 @@
         revision: catalog.revision,
         delta: Some(catalog.page(received.revision(), 4)),
         standing: None,
+        valid_ms: None,
     };
     let standing = |control| Page {
         revision: catalog.revision,
@@ -450,6 +451,7 @@
             control,
             ..Standing::default()
         }),
+        valid_ms: None,
     };
     let is_last = |page: &Page| {
         let reached = page.delta.as_ref().map(|delta| delta.revision);
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -18,7 +18,13 @@
     },
     jsonrpsee::{RpcModule, core::RegisterMethodError},
     snafu::{ResultExt, Snafu},
-    std::{io, net::SocketAddr, sync::Arc, thread::JoinHandle, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, atomic::AtomicU64},
+        thread::JoinHandle,
+        time::Duration,
+    },
     tokio::sync::{oneshot, watch},
 };
 
@@ -86,6 +92,7 @@
         let (control_tx, control) = watch::channel(Arc::default());
         let (leader_tx, leader) = watch::channel(None);
         let (is_led_tx, is_led) = watch::channel(false);
+        let led_until = Arc::new(AtomicU64::new(0));
         let replica = Replica {
             members: members_tx,
             ring: agree_ring,
@@ -93,6 +100,7 @@
             policies,
             is_current: is_current_tx,
             is_led: is_led_tx,
+            led_until: Arc::clone(&led_until),
             control: control_tx,
             leader: leader_tx,
         };
@@ -116,6 +124,8 @@
             policies: policies_rx.clone(),
             is_current: is_current_rx.clone(),
             is_led,
+            led_until,
+            clock: context.clock,
             members,
             control,
             leader,
@@ -233,6 +243,7 @@
     is_current: watch::Sender<bool>,
     members: watch::Sender<Arc<Vec<SocketAddr>>>,
     is_led: watch::Sender<bool>,
+    led_until: Arc<AtomicU64>,
     control: watch::Sender<Arc<Vec<agree::ControlVm>>>,
     leader: watch::Sender<Option<SocketAddr>>,
 }
@@ -272,6 +283,7 @@
         is_current: replica.is_current,
         members: replica.members,
         is_led: replica.is_led,
+        led_until: replica.led_until,
         control: replica.control,
         leader: replica.leader,
     };
--- a/src/handover/tests/lanes.rs
+++ b/src/handover/tests/lanes.rs
@@ -60,6 +60,8 @@
         policies: watch::channel(Arc::default()).1,
         is_current: watch::channel(true).1,
         is_led: watch::channel(true).1,
+        led_until: Arc::default(),
+        clock: context.clock,
         members: watch::channel(Arc::default()).1,
         control: watch::channel(Arc::default()).1,
         leader: watch::channel(Some(leader)).1,
