--- a/src/agree/tests/mod.rs
+++ b/src/agree/tests/mod.rs
@@ -4,4 +4,5 @@
 mod oracle;
 mod placement;
 mod scripted;
+mod size;
 mod world;
--- a/src/agree/transport.rs
+++ b/src/agree/transport.rs
@@ -162,7 +162,7 @@
         .map(|envelope| EncodedEnvelope { envelope }))
 }
 
-fn encode(envelope: &Envelope) -> Option<String> {
+pub(super) fn encode(envelope: &Envelope) -> Option<String> {
     const DIGITS: &[u8; 16] = b"0123456789abcdef";
     let bytes = postcard::to_stdvec(envelope).ok()?;
     if has_packed_orders(envelope) {
@@ -194,7 +194,7 @@
     }
 }
 
-fn decode(text: &str) -> Option<Envelope> {
+pub(super) fn decode(text: &str) -> Option<Envelope> {
     if let Some(text) = text.strip_prefix(PACKED_MARK) {
         let bytes = BASE64_STANDARD.decode(text).ok()?;
         return postcard::from_bytes(&bytes).ok();
