--- a/src/agree/tests/size.rs
+++ b/src/agree/tests/size.rs
@@ -37,7 +37,7 @@
 fn malformed_and_endless_compressed_changes_are_rejected() {
     let endless = crate::pack::pack(&vec![0; 13 * MIB]).unwrap();
     assert_eq!(unpack(&endless), None);
-    let packed = pack_large(&[b'a'; MIB]).unwrap().unwrap();
+    let packed = pack_large(&vec![b'a'; MIB]).unwrap().unwrap();
     assert_eq!(unpack(&packed[..packed.len() / 2]), None);
     crate::fuzz::check(300, |bytes: &Vec<u8>| drop(unpack(bytes)));
 }
