Give each test a secret of its own, so that clusters of two tests do not answer each other

Cause, reproduced: all tests shared one secret and choose ports that are free at the moment, from ranges that overlap between processes. A control VM of another cluster at the address of one that was removed and killed answers the operator, whose command it has never seen, with a conflict. Ruled out by reading: the quorum of a leader that removes itself, and a refusal before the log.

Fix: the secret is made of the process and a counter; a foreign control VM answers 401, and the operator goes on to the next.

Evidence: the new test fails with the shared secret at the same assertion (left: None, right: Some) and passes now.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,8 +22,13 @@
 const FIRST_PORT: u32 = 10_000;
 const PORT_COUNT: u32 = 20_000;
 
-/// Shared secret of all processes of a test.
-pub const SECRET: &str = "test-secret-0123456789";
+/// Shared secret of all processes of a test. Another test may start processes at the addresses of those that this one
+/// has stopped, and they must not answer each other.
+fn new_secret() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    format!("test-secret-{}-{number}", std::process::id())
+}
 
 /// A running siskinstep binary; killed with `SIGKILL` when dropped.
 pub struct Process {
@@ -84,13 +89,15 @@
 /// Temporary folder of one test, with the secret and the settings files of its processes.
 pub struct TestEnv {
     pub folder: TempDir,
+    pub secret: String,
 }
 
 impl TestEnv {
     pub fn new() -> Self {
         let folder = TempDir::new().unwrap();
-        fs::write(folder.path().join("secret"), SECRET).unwrap();
-        Self { folder }
+        let secret = new_secret();
+        fs::write(folder.path().join("secret"), &secret).unwrap();
+        Self { folder, secret }
     }
 
     /// Settings that every process of the test has in common, for the given VM and zone.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use {
-    common::{Process, SECRET, TestEnv, WAIT_TIMEOUT, eventually, free_address},
+    common::{Process, TestEnv, WAIT_TIMEOUT, eventually, free_address},
     serde_json::{Value, json},
     siskinstep::{
         agree::{MemberChange, MemberStatus},
@@ -92,7 +92,7 @@
 
     fn operator(&self) -> OperatorClient {
         let addresses = self.addresses.iter().take(self.founders).map(|row| row.1);
-        OperatorClient::new(addresses.collect(), Secret::new(SECRET))
+        OperatorClient::new(addresses.collect(), Secret::new(&self.env.secret))
     }
 
     fn members(&self) -> Vec<MemberStatus> {
@@ -235,7 +235,7 @@
     }
     let client = Client::new(
         cluster.addresses[leader].1,
-        &Secret::new(SECRET),
+        &Secret::new(&cluster.env.secret),
         WAIT_TIMEOUT,
     )
     .unwrap();
@@ -383,6 +383,30 @@
     );
 }
 
+/// Guards against a command that was accepted and is reported as refused, by a control VM of another cluster that was
+/// started at the address of one that is gone.
+#[test]
+fn a_control_vm_of_another_cluster_at_a_former_address_answers_no_operator() {
+    let mut cluster = Cluster::start(3);
+    cluster.await_healthy(3);
+    let (runtime, operator) = (runtime(), cluster.operator());
+    let first = drain("first", 0);
+    let accepted = submit(&runtime, &operator, &first);
+    assert!(accepted.is_some());
+    let second = drain("second", 1);
+    let response = submit(&runtime, &operator, &second);
+    assert!(response.is_some());
+    // The operator tries the control VMs in the order of its list.
+    cluster.kill(0);
+    let other = TestEnv::new();
+    let (peers, operators) = (free_address(), cluster.addresses[0].1);
+    let mut settings = other.settings("control-1", "derwent-a");
+    settings["listeners"] = json!({"operators": operators, "peers": peers});
+    settings["data_dir"] = json!(other.folder.path().join("data"));
+    let _other = other.start(CONTROL, &settings);
+    assert_eq!(submit(&runtime, &operator, &second), response);
+}
+
 /// Script that limits the size of files, so that larger writes fail with an error instead of a
 /// signal, and then executes the control VM.
 const LIMITED_SCRIPT: &str = "#!/bin/bash\ntrap '' XFSZ\nulimit -f 24\nexec \"$CONTROL\" \"$1\"\n";
@@ -401,7 +425,7 @@
     let process = env.start(script.to_str().unwrap(), &settings);
     let (runtime, operator) = (
         runtime(),
-        OperatorClient::new(vec![operators], Secret::new(SECRET)),
+        OperatorClient::new(vec![operators], Secret::new(&env.secret)),
     );
     let mut accepted = 0;
     let refused = loop {
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -6,7 +6,7 @@
 mod relay;
 
 use {
-    common::{Process, SECRET, TestEnv, eventually, free_address},
+    common::{Process, TestEnv, eventually, free_address},
     relay::Relay,
     serde_json::{Value, json},
     siskinstep::edge::{outbound, secret::SECRET_HEADER},
@@ -47,7 +47,7 @@
         let body = json!({"jsonrpc": "2.0", "id": 1, "method": method, "params": params});
         let mut response = outbound::agent(Duration::from_secs(30))
             .post(format!("http://{}/", self.operators))
-            .header(SECRET_HEADER, SECRET)
+            .header(SECRET_HEADER, &self.env.secret)
             .send(body.to_string())
             .unwrap();
         serde_json::from_str(&response.body_mut().read_to_string().unwrap()).unwrap()
