Report a near control VM as behind only once there is a catalogue

At its start an entry VM may receive the catalogue from the distant control VM first; E1304 then warned of a near one that is not behind. A log line only.

--- a/src/agree/decide.rs
+++ b/src/agree/decide.rs
@@ -245,7 +245,8 @@
     })
 }
 
-/// Appends `content` to the log if this replica leads, `wrap` accepts its JSON, and fewer than `max_pending` commands are pending.
+/// Appends `content` to the log if this replica leads, `wrap` accepts its JSON, and fewer than `max_pending`
+/// commands are pending.
 fn submit_content(
     step: &mut Step<'_>,
     operator_call: OperatorCallKey,
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -250,7 +250,8 @@
         }
         time::sleep(LAG).await;
         let revision = self.received.borrow().revision();
-        self.report_lag(revision < page.revision, || {
+        // At the start, either poller may be the first to receive the catalogue.
+        self.report_lag(revision > 0 && revision < page.revision, || {
             format!("at revision {revision}, {address} is at {}", page.revision)
         });
         while self.received.borrow().revision() < page.revision {
