Let an append take the place of one that still waits for the same peer

Cause: messages to a peer are sent one call at a time, so at most one for each round trip (44 ms between regions, 22 a second). The leader sends each member an append for each commit and each read, some 50 a second then; the queue of 16 was full, and an entry waited behind 16 round trips, or was dropped and sent again 300 ms later. Class: notifications that are queued one by one though each says all that the one before said.

Fix: an append takes the place of one that still waits for the same peer, with its entries if it has none of its own. An entry waits for the call in progress at most.

Two tests of the outbox.

--- a/src/agree/mod.rs
+++ b/src/agree/mod.rs
@@ -11,6 +11,7 @@
 mod log;
 mod member;
 pub mod messages;
+mod outbox;
 mod placement;
 mod replicate;
 pub mod settings;
--- a/src/agree/tests/mod.rs
+++ b/src/agree/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod fuzz;
 mod oracle;
+mod outbox;
 mod placement;
 mod scripted;
 mod size;
--- a/src/agree/transport.rs
+++ b/src/agree/transport.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         messages::Message,
+        outbox::Outbox,
         wire::{Body, Content, Envelope},
     },
     crate::{
@@ -16,14 +17,12 @@
     base64::{Engine, prelude::BASE64_STANDARD},
     jsonrpsee::{RpcModule, core::RegisterMethodError, types::ErrorObjectOwned},
     serde::{Deserialize, Serialize},
-    std::{io, net::SocketAddr, thread::JoinHandle, time::Duration},
-    tokio::sync::{mpsc, oneshot},
+    std::{cell::RefCell, io, net::SocketAddr, rc::Rc, thread::JoinHandle, time::Duration},
+    tokio::sync::{Notify, mpsc, oneshot},
 };
 
 const METHOD: &str = "agree.step";
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Messages queued for one peer; more are dropped, and the protocol sends them again.
-const PEER_QUEUE_MESSAGES: usize = 16;
 const SEND_QUEUE_MESSAGES: usize = 256;
 
 /// A message to the peer at an address.
@@ -71,31 +70,43 @@
     ring: Sender<Message>,
     mut packets: mpsc::Receiver<Packet>,
 ) {
-    let mut queues: Sorted<SocketAddr, mpsc::Sender<Envelope>> = Sorted::default();
+    let mut peers: Sorted<SocketAddr, Rc<Peer>> = Sorted::default();
     while let Some(Packet { to, envelope }) = packets.recv().await {
-        if queues.get(&to).is_none() {
+        if peers.get(&to).is_none() {
             let Ok(client) = Client::new(to, &secret, CALL_TIMEOUT) else {
                 continue;
             };
-            let (queue, envelopes) = mpsc::channel(PEER_QUEUE_MESSAGES);
-            tokio::task::spawn_local(run_peer(context.clone(), client, ring.clone(), envelopes));
-            queues.insert(to, queue);
+            let peer = Rc::new(Peer::default());
+            let (context, ring) = (context.clone(), ring.clone());
+            tokio::task::spawn_local(run_peer(context, client, ring, Rc::clone(&peer)));
+            peers.insert(to, peer);
         }
-        let queue = queues.get(&to);
-        if queue.is_none_or(|queue| queue.try_send(envelope).is_err()) {
+        let is_queued = peers.get(&to).is_some_and(|peer| {
+            let is_queued = peer.outbox.borrow_mut().push(envelope);
+            peer.added.notify_one();
+            is_queued
+        });
+        if !is_queued {
             context.metrics.count("peer_messages_dropped", 1);
         }
     }
 }
 
-/// Sends the queued messages to one peer, one call at a time.
-async fn run_peer(
-    context: Context,
-    client: Client,
-    ring: Sender<Message>,
-    mut envelopes: mpsc::Receiver<Envelope>,
-) {
-    while let Some(envelope) = envelopes.recv().await {
+/// The messages for one peer, shared by the tasks that add and send them.
+#[derive(Default)]
+struct Peer {
+    outbox: RefCell<Outbox>,
+    added: Notify,
+}
+
+/// Sends the messages to one peer, one call at a time. Ends with the thread's runtime.
+async fn run_peer(context: Context, client: Client, ring: Sender<Message>, peer: Rc<Peer>) {
+    loop {
+        let next = peer.outbox.borrow_mut().pop();
+        let Some(envelope) = next else {
+            peer.added.notified().await;
+            continue;
+        };
         let Some(envelope) = encode(&envelope) else {
             continue;
         };
