--- a/src/catalog/configure.rs
+++ b/src/catalog/configure.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        messages::{ChangeId, Configuration, Edit, Limits, Route, Service},
+        messages::{ChangeId, Configuration, Edit, Limits, Route, Service, Tenant},
         state::{Catalog, LIMITS_ROW, MAX_ACCEPTED},
         table::{Row, Table},
     },
-    crate::policy::Rejection,
+    crate::{policy::Rejection, tenants::Digest},
 };
 
 /// Applies `edit` to the configuration. `versions` contains the base version and the new version.
@@ -42,6 +42,9 @@
     let revision = catalog.revision + 1;
     replace_rows(&mut catalog.routes, next.routes, revision);
     replace_rows(&mut catalog.services, next.services, revision);
+    catalog.has_tenants = next.tenants.is_some();
+    let tenants = next.tenants.unwrap_or_default();
+    replace_rows(&mut catalog.tenants, tenants, revision);
     let limits: Vec<(String, Limits)> = next
         .limits
         .map(|row| (LIMITS_ROW.to_owned(), row))
@@ -67,16 +70,26 @@
         Edit::Replace(mut next) => {
             next.routes.sort_by(|a, b| a.0.cmp(&b.0));
             next.services.sort_by(|a, b| a.0.cmp(&b.0));
+            if let Some(tenants) = &mut next.tenants {
+                tenants.sort_by(|a, b| a.0.cmp(&b.0));
+            }
             next
         }
         Edit::Update {
             put,
             routes,
             services,
+            tenants,
         } => Configuration {
             routes: merged(pairs(catalog.routes.rows()), put.routes, &routes),
             services: merged(pairs(catalog.services.rows()), put.services, &services),
             limits: put.limits.or_else(|| catalog.bounds().cloned()),
+            tenants: {
+                let has_tenants = catalog.has_tenants || put.tenants.is_some();
+                let rows = pairs(catalog.tenants.rows());
+                let put = put.tenants.unwrap_or_default();
+                has_tenants.then(|| merged(rows, put, &tenants))
+            },
         },
     }
 }
@@ -120,15 +133,11 @@
 /// Every violation in a configuration, each with its location.
 fn findings(next: &Configuration) -> Vec<String> {
     let mut findings = Vec::new();
-    for pair in next.services.windows(2) {
-        if pair[0].0 == pair[1].0 {
-            findings.push(format!("service {}: duplicate name", pair[0].0));
-        }
-    }
-    for pair in next.routes.windows(2) {
-        if pair[0].0 == pair[1].0 {
-            findings.push(format!("route {}: duplicate name", pair[0].0));
-        }
+    find_duplicates("service", &next.services, &mut findings);
+    find_duplicates("route", &next.routes, &mut findings);
+    if let Some(tenants) = &next.tenants {
+        find_duplicates("tenant", tenants, &mut findings);
+        find_shared_keys(tenants, &mut findings);
     }
     for (name, route) in &next.routes {
         let mut add = |text: String| findings.push(format!("route {name}: {text}"));
@@ -148,6 +157,34 @@
     findings
 }
 
+/// Adds a finding for each name that two rows have.
+fn find_duplicates<T>(kind: &str, rows: &[(String, T)], findings: &mut Vec<String>) {
+    for pair in rows.windows(2) {
+        if pair[0].0 == pair[1].0 {
+            findings.push(format!("{kind} {}: duplicate name", pair[0].0));
+        }
+    }
+}
+
+/// Adds a finding for each pair of tenants that share an API key, without the key.
+fn find_shared_keys(tenants: &[(String, Tenant)], findings: &mut Vec<String>) {
+    let keys_of = |row: &(String, Tenant)| -> Vec<(Digest, String)> {
+        let keys = row.1.keys.iter();
+        keys.map(|key| (*key, row.0.clone())).collect()
+    };
+    let mut owners: Vec<(Digest, String)> = tenants.iter().flat_map(keys_of).collect();
+    owners.sort_unstable();
+    for pair in owners.windows(2) {
+        let (first, second) = (&pair[0], &pair[1]);
+        if first.0 == second.0 && first.1 != second.1 {
+            findings.push(format!(
+                "tenants {} and {}: share an API key",
+                first.1, second.1
+            ));
+        }
+    }
+}
+
 fn check(route: &Route, services: &[(String, Service)], add: &mut impl FnMut(String)) {
     if route.host.is_empty() {
         add("host: expected a host name, found none".to_owned());
--- a/src/catalog/messages.rs
+++ b/src/catalog/messages.rs
@@ -1,9 +1,12 @@
 //! Rows of the catalogue, and the orders that change it.
 
 use {
-    crate::{ledger::Fingerprint, poison::Charge},
+    crate::{ledger::Fingerprint, poison::Charge, tenants::Digest},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{
+        fmt::{self, Debug, Formatter},
+        net::SocketAddr,
+    },
 };
 
 /// Whether upstreams may process a request of a route more than once.
@@ -62,6 +65,9 @@
     pub attempts: u32,
     /// Whether requests with the same affinity key go to the same upstream.
     pub affinity: bool,
+    /// Whether callers need no API key, also if the configuration has tenants.
+    #[serde(default)]
+    pub public: bool,
     /// Names of the regions that may serve requests; empty for all regions.
     pub homes: Vec<String>,
     /// Services that share the traffic by weight; a single one gets all requests.
@@ -84,6 +90,36 @@
     pub source: String,
 }
 
+/// A tenant: callers that share API keys, limits and regions.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tenant {
+    /// Digests of its API keys, in ascending order.
+    pub keys: Vec<Digest>,
+    /// Priority when capacity is scarce, in place of the routes'; `None` to use theirs.
+    pub rank: Option<u32>,
+    /// Requests that all entry VMs together may send, in thousandths of a request per second; 0 for no limit.
+    pub rate: u64,
+    /// Requests that may be sent in addition to the rate, in thousandths.
+    pub burst: u64,
+    /// Names of the regions that may serve its requests; empty for all regions.
+    pub homes: Vec<String>,
+    /// The row as the operator submitted it, returned by reads. It contains the API keys.
+    pub source: String,
+}
+
+impl Debug for Tenant {
+    /// Omits `source`, so that no log line contains an API key.
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Tenant")
+            .field("keys", &self.keys.len())
+            .field("rank", &self.rank)
+            .field("rate", &self.rate)
+            .field("burst", &self.burst)
+            .field("homes", &self.homes)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Limits on what callers may send.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
@@ -102,6 +138,9 @@
     pub services: Vec<(String, Service)>,
     /// Limits on callers, if configured.
     pub limits: Option<Limits>,
+    /// Tenants by name; `None` if callers need no API key.
+    #[serde(default)]
+    pub tenants: Option<Vec<(String, Tenant)>>,
 }
 
 /// Content of a configuration change.
@@ -118,6 +157,9 @@
         routes: Vec<String>,
         /// Names of the services to remove.
         services: Vec<String>,
+        /// Names of the tenants to remove.
+        #[serde(default)]
+        tenants: Vec<String>,
     },
 }
 
--- a/src/catalog/pages.rs
+++ b/src/catalog/pages.rs
@@ -13,7 +13,7 @@
 
 /// Method by which a follower long-polls for the next page. The number is that of the encoding, which names no
 /// fields.
-pub(super) const PAGE_METHOD: &str = "catalog.page2";
+pub(super) const PAGE_METHOD: &str = "catalog.page3";
 /// Rows of a page: about 15 KB with upstreams, which a link of 2 Mbit/s carries in 60 ms.
 const PAGE_ROWS: usize = 256;
 
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        messages::{ChangeId, Limits, Route, Service, Upstream},
+        messages::{ChangeId, Limits, Route, Service, Tenant, Upstream},
         table::{Patch, Table},
     },
     crate::poison::Process,
@@ -37,6 +37,12 @@
     /// Lost processes of upstreams by the fingerprint of the request that was running on them.
     #[serde(default)]
     pub charges: Table<Vec<Process>>,
+    /// Whether callers need an API key. Stays so if the last tenant is removed by name.
+    #[serde(default)]
+    pub has_tenants: bool,
+    /// Tenants by name.
+    #[serde(default)]
+    pub tenants: Table<Tenant>,
     /// Accepted configuration changes, oldest first.
     pub(super) accepted: Vec<ChangeId>,
     /// Name and incarnation of deregistered upstreams, oldest first.
@@ -67,6 +73,12 @@
     pub upstreams: Patch<Upstream>,
     /// Changes of charged requests.
     pub charges: Patch<Vec<Process>>,
+    /// Whether callers need an API key.
+    #[serde(default)]
+    pub has_tenants: bool,
+    /// Changes of tenants.
+    #[serde(default)]
+    pub tenants: Patch<Tenant>,
 }
 
 impl Delta {
@@ -81,6 +93,9 @@
         for row in &mut self.limits.rows {
             row.value.source = String::new();
         }
+        for row in &mut self.tenants.rows {
+            row.value.source = String::new();
+        }
     }
 }
 
@@ -129,6 +144,7 @@
             .chain(self.emptied.revisions(since))
             .chain(self.upstreams.revisions(since))
             .chain(self.charges.revisions(since))
+            .chain(self.tenants.revisions(since))
             .collect();
         if revisions.len() <= max_rows {
             return self.since(since);
@@ -144,6 +160,7 @@
             self.emptied.floor(),
             self.upstreams.floor(),
             self.charges.floor(),
+            self.tenants.floor(),
         ];
         let until = floors.into_iter().fold(until, u64::max);
         self.between(since, until)
@@ -160,6 +177,8 @@
             emptied: self.emptied.between(since, until),
             upstreams: self.upstreams.between(since, until),
             charges: self.charges.between(since, until),
+            has_tenants: self.has_tenants,
+            tenants: self.tenants.between(since, until),
         }
     }
 
@@ -184,6 +203,8 @@
         self.emptied.merge(delta.emptied, since, until);
         self.upstreams.merge(delta.upstreams, since, until);
         self.charges.merge(delta.charges, since, until);
+        self.has_tenants = delta.has_tenants;
+        self.tenants.merge(delta.tenants, since, until);
         true
     }
 }
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -47,6 +47,16 @@
     pub gone: Vec<(u64, String)>,
 }
 
+impl<T> Default for Patch<T> {
+    fn default() -> Self {
+        Self {
+            whole: false,
+            rows: Vec::new(),
+            gone: Vec::new(),
+        }
+    }
+}
+
 impl<T: Clone + PartialEq> Table<T> {
     fn find(&self, name: &str) -> Result<usize, usize> {
         self.rows
--- a/src/catalog/tests/mod.rs
+++ b/src/catalog/tests/mod.rs
@@ -31,6 +31,7 @@
         attempts: 2,
         affinity: true,
         homes: Vec::new(),
+        public: false,
         parts: vec![WeightedService {
             service: "s".to_owned(),
             weight: 1_000,
@@ -56,6 +57,7 @@
             .collect(),
         services: vec![("s".to_owned(), service())],
         limits: Some(Limits::default()),
+        tenants: None,
     }
 }
 
@@ -145,6 +147,7 @@
             put,
             routes: vec!["x".to_owned()],
             services: Vec::new(),
+            tenants: Vec::new(),
         },
     };
     apply(&mut catalog, order).unwrap();
--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -48,6 +48,8 @@
     pub waiting: u32,
     /// Maximum number of requests that it processes concurrently.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, in percent of the usual time; `None` if not reported.
+    pub slow_percent: Option<u32>,
 }
 
 /// Outcome of an attempt.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod slots;
 pub mod spread;
 pub mod steer;
+pub mod tenants;
 
 // Duties of a control VM.
 pub mod agree;
--- a/src/steer/learn.rs
+++ b/src/steer/learn.rs
@@ -92,6 +92,7 @@
                     running: upstream.slots.saturating_add(upstream.in_flight_count),
                     waiting: 0,
                     slots: 0,
+                    slow_percent: None,
                 };
                 let has_room = load.is_some_and(|load| load.running < load.slots);
                 if has_room {
--- a/src/steer/tests/load.rs
+++ b/src/steer/tests/load.rs
@@ -148,6 +148,7 @@
                 running: u32::try_from(server.running.len()).unwrap(),
                 waiting: u32::try_from(server.queue.len()).unwrap(),
                 slots: scenario.slots,
+                slow_percent: None,
             };
             let ended = Ended::Answered {
                 status: 200,
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -99,6 +99,7 @@
             running: 0,
             waiting: 0,
             slots: 4,
+            slow_percent: None,
         });
         self.finish(key, Ended::Answered { status: 200, load });
     }
@@ -337,6 +338,7 @@
                 running: u32::try_from(running.len()).unwrap(),
                 waiting: 0,
                 slots: 4,
+                slow_percent: None,
             });
             for key in done {
                 let ended = Ended::Answered { status: 200, load };
@@ -381,6 +383,7 @@
             running,
             waiting: 0,
             slots: 4,
+            slow_percent: None,
         });
         let refused = Ended::Failed {
             reason: Reason::UpstreamRefused,
@@ -428,6 +431,7 @@
                     running: 4,
                     waiting: if &*id == "c1" { 3 } else { 0 },
                     slots: 4,
+                    slow_percent: None,
                 });
                 world.finish(in_flight, Ended::Answered { status: 200, load });
             }
@@ -597,6 +601,7 @@
         running: u32::MAX,
         waiting: u32::MAX,
         slots: u32::MAX,
+        slow_percent: None,
     };
     let refused = Ended::Failed {
         reason: Reason::UpstreamRefused,
