Identify tenants at admission, in the queue and before each send

Cause: the catalogue has tenants, but entry VMs admitted any caller and upstreams saw the callers' own identity headers.

Change: src/tenants decodes and identifies credentials; its index keeps the key of a tenant that stays and finds a digest through buckets, so that the cost does not grow with the number of keys. steer checks the identity after route and size, applies the tenant's rank and home regions, refuses waiting requests and retries whose credential no longer identifies the same tenant, and takes back attempts that the courier has not sent yet. The catalogue's thread tells steer whether a control VM can be reached. Debug output of headers omits credentials.

A credential that has moved to another tenant gets identity_unknown (503), as it is valid and the caller may retry as the new tenant.

--- a/src/call.rs
+++ b/src/call.rs
@@ -89,11 +89,16 @@
     AnswerMismatch,
     /// This VM has not joined the fleet yet, or not rejoined after it was suspended.
     NotJoined,
+    /// The caller's credential is missing, malformed or unknown.
+    Unauthorized,
+    /// The caller's API key is not known to this VM, but may be valid: the key may be newer than this VM's
+    /// configuration, or it has just moved to another tenant.
+    IdentityUnknown,
 }
 
 impl Reason {
     /// All reasons, in declaration order.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 27] = [
         Self::RingFull,
         Self::Stopping,
         Self::UnknownKind,
@@ -119,6 +124,8 @@
         Self::Cancelled,
         Self::AnswerMismatch,
         Self::NotJoined,
+        Self::Unauthorized,
+        Self::IdentityUnknown,
     ];
 
     /// Name used in responses and as a metric label.
@@ -154,6 +161,8 @@
             Self::Cancelled => "cancelled",
             Self::AnswerMismatch => "answer_mismatch",
             Self::NotJoined => "not_joined",
+            Self::Unauthorized => "unauthorized",
+            Self::IdentityUnknown => "identity_unknown",
         }
     }
 }
@@ -204,7 +213,7 @@
 const DEFAULT_RETRY_MS: u32 = 200;
 
 /// An HTTP header; the value is kept as received.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
     /// Name in lower case.
     pub name: Bytes,
@@ -212,6 +221,26 @@
     pub value: Bytes,
 }
 
+impl std::fmt::Debug for Header {
+    /// Omits the value of headers with credentials, so that no log line contains one.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut out = f.debug_struct("Header");
+        out.field("name", &self.name);
+        if is_credential(&self.name) {
+            return out.finish_non_exhaustive();
+        }
+        out.field("value", &self.value).finish()
+    }
+}
+
+/// Whether a header carries credentials: `authorization`, `proxy-authorization` and other names that contain it,
+/// in any case.
+fn is_credential(name: &[u8]) -> bool {
+    const NAME: &[u8] = b"authorization";
+    let mut parts = name.windows(NAME.len());
+    parts.any(|part| part.eq_ignore_ascii_case(NAME))
+}
+
 /// Request content from the caller, forwarded to the upstream unchanged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Payload {
--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -22,6 +22,7 @@
 pub const fn status_of(reason: Reason) -> u16 {
     match reason {
         Reason::KeyMissing | Reason::Malformed => 400,
+        Reason::Unauthorized => 401,
         Reason::UnknownKind => 404,
         Reason::InProgress | Reason::MayHaveRun => 409,
         Reason::TooLarge => 413,
@@ -39,7 +40,8 @@
         | Reason::RetryBudget
         | Reason::PeerUnreachable
         | Reason::Cancelled
-        | Reason::NotJoined => 503,
+        | Reason::NotJoined
+        | Reason::IdentityUnknown => 503,
     }
 }
 
--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -17,6 +17,7 @@
     },
     std::{
         cell::{Cell, RefCell},
+        fmt::{self, Debug, Formatter},
         io,
         net::SocketAddr,
         rc::Rc,
@@ -118,7 +119,7 @@
     settings: Settings,
     secret: Secret,
     seeds: watch::Receiver<Vec<SocketAddr>>,
-    publish: Box<dyn Fn(&CatalogView)>,
+    subscriber: Subscriber,
     received: RefCell<Received>,
     /// Whether the near control VM is behind the distant one.
     is_behind: Cell<bool>,
@@ -126,7 +127,21 @@
     unreachable: RefCell<[bool; Poller::ALL.len()]>,
 }
 
-/// Starts the duty, which calls `publish` with each changed view and exits when `stop` closes.
+/// Receiver of what the duty learns.
+pub struct Subscriber {
+    /// Called with each changed view.
+    pub publish: Box<dyn Fn(&CatalogView) + Send>,
+    /// Called when the last reachable control VM is lost, and with the first response after that or after the start.
+    pub record_reachable: Box<dyn Fn(bool) + Send>,
+}
+
+impl Debug for Subscriber {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Subscriber").finish_non_exhaustive()
+    }
+}
+
+/// Starts the duty, which notifies `subscriber` of changes and exits when `stop` closes.
 /// `zone` is the local availability zone; `seeds` contains the control VMs of the current settings.
 ///
 /// # Errors
@@ -137,7 +152,7 @@
     settings: Settings,
     secret: Secret,
     seeds: watch::Receiver<Vec<SocketAddr>>,
-    publish: impl Fn(&CatalogView) + Send + 'static,
+    subscriber: Subscriber,
     stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
     duty::spawn_local("catalog", move || {
@@ -147,7 +162,7 @@
             settings,
             secret,
             seeds,
-            publish: Box::new(publish),
+            subscriber,
             received: RefCell::default(),
             is_behind: Cell::default(),
             unreachable: RefCell::new([true; Poller::ALL.len()]),
@@ -298,7 +313,7 @@
                 ),
             );
         }
-        (self.publish)(&CatalogView {
+        (self.subscriber.publish)(&CatalogView {
             catalog,
             control: Arc::new(received.standing.control.clone()),
             zones: Arc::new(received.standing.zones.clone()),
@@ -316,8 +331,10 @@
                 Event::CONTROL_UNREACHABLE,
                 format_args!("{address}: {error}"),
             );
+            (self.subscriber.record_reachable)(false);
         } else if was_unreachable && !is_unreachable {
             report(Event::CONTROL_REACHED, format_args!("{address}"));
+            (self.subscriber.record_reachable)(true);
         }
     }
 }
--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         call::{Answer, Ran, Reason},
-        cancel,
+        cancel::{self, Cancel},
         context::Context,
         edge::held::{BodyError, Held},
         relay::{
@@ -96,7 +96,16 @@
     if remaining_ms == 0 {
         return not_run(Reason::DeadlineExceeded);
     }
-    let request = (resources.wire_format.encode)(&dispatch.payload, &dispatch.target, remaining_ms);
+    let revoked = dispatch.caller.revoked.as_ref();
+    if revoked.is_some_and(Cancel::is_cancelled) {
+        return not_run(Reason::IdentityUnknown);
+    }
+    let request = (resources.wire_format.encode)(
+        &dispatch.payload,
+        &dispatch.target,
+        &dispatch.caller,
+        remaining_ms,
+    );
     let Some(request) = request else {
         return not_run(Reason::Malformed);
     };
--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -24,6 +24,17 @@
     pub born: u64,
 }
 
+/// What is known of the caller of an attempt.
+#[derive(Clone, Debug, Default)]
+pub struct Caller {
+    /// Whether callers need an API key. If so, upstreams must learn the caller's identity only from this system.
+    pub is_checked: bool,
+    /// Name of the caller's tenant.
+    pub tenant: Option<Arc<str>>,
+    /// Signals that the caller is no longer identified as that tenant. An attempt that has been sent continues.
+    pub revoked: Option<Cancel>,
+}
+
 /// An attempt to dispatch.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -35,6 +46,8 @@
     pub until: Micros,
     /// The request to send.
     pub payload: Arc<Payload>,
+    /// What is known of the caller.
+    pub caller: Caller,
     /// Cancels the attempt when the caller disconnects.
     pub cancel: Cancel,
 }
@@ -105,9 +118,9 @@
     pub idle_ms: Option<u64>,
 }
 
-/// Encodes a request, given the milliseconds that remain until its deadline; returns `None` if it
+/// Encodes a request of a caller, given the milliseconds that remain until its deadline; returns `None` if it
 /// cannot be encoded.
-pub type Encode = fn(&Payload, &Target, u64) -> Option<Request<Full<Bytes>>>;
+pub type Encode = fn(&Payload, &Target, &Caller, u64) -> Option<Request<Full<Bytes>>>;
 /// Decodes the head of the response to a request.
 pub type Decode = fn(&Parts, &Payload) -> Head;
 
--- a/src/courier/mod.rs
+++ b/src/courier/mod.rs
@@ -12,7 +12,7 @@
 mod thread;
 
 pub use {
-    messages::{Dispatch, Ended, Head, Load, Meaning, Report, Target, WireFormat},
+    messages::{Caller, Dispatch, Ended, Head, Load, Meaning, Report, Target, WireFormat},
     settings::Settings,
     thread::spawn,
 };
--- a/src/courier/tests/mod.rs
+++ b/src/courier/tests/mod.rs
@@ -4,7 +4,7 @@
 mod copies;
 
 use {
-    super::{Dispatch, Ended, Head, Meaning, Report, Settings, Target, WireFormat, spawn},
+    super::{Caller, Dispatch, Ended, Head, Meaning, Report, Settings, Target, WireFormat, spawn},
     crate::{
         call::{Header, Payload, Ran, Reason},
         cancel::{self, Guard},
@@ -40,7 +40,7 @@
         let header = headers.find(|header| header.name == "id")?;
         Some(&header.value)
     },
-    encode: |payload, target, remaining_ms| {
+    encode: |payload, target, _caller, remaining_ms| {
         let mut request = Request::builder().method(&payload.method[..]).uri("/x");
         for header in &payload.headers {
             request = request.header(&header.name[..], &header.value[..]);
@@ -184,6 +184,7 @@
             },
             until: self.context.clock.now().plus_millis(remaining_ms),
             payload: payload.into(),
+            caller: Caller::default(),
             cancel,
         };
         self.dispatches.offer(dispatch).unwrap();
--- a/src/gateway/wiring.rs
+++ b/src/gateway/wiring.rs
@@ -5,7 +5,7 @@
     crate::{
         admin,
         beacon::{self, Beacon, send},
-        catalog::follow::{self, CatalogView},
+        catalog::follow::{self, CatalogView, Subscriber},
         context::Context,
         courier::{self, WireFormat},
         edge::{self, Handler, Limits, Listener, ListenerHandle, Secret, listener::ListenError},
@@ -151,14 +151,14 @@
             control: control_tx,
         };
         let zone = settings.zone.clone();
-        let publish = publisher(handle.clone(), followers, zone, settings.beacon_port);
+        let subscriber = subscriber(handle.clone(), followers, zone, settings.beacon_port);
         let catalog_thread = follow::spawn(
             context.clone(),
             settings.zone.clone(),
             settings.catalog.clone(),
             secret.clone(),
             seeds_rx,
-            publish,
+            subscriber,
             follow_stopped,
         );
         let mut threads = vec![
@@ -319,6 +319,23 @@
     control: watch::Sender<Vec<SocketAddr>>,
 }
 
+/// Forwards what the catalogue's thread learns.
+fn subscriber(
+    handle: GatewayHandle,
+    followers: Followers,
+    zone: String,
+    beacon_port: u16,
+) -> Subscriber {
+    let steer = handle.steer.clone();
+    Subscriber {
+        publish: Box::new(publisher(handle, followers, zone, beacon_port)),
+        // Blocks while the ring is full, like the updates of the catalogue, so that it stays in order with them.
+        record_reachable: Box::new(move |is_reachable| {
+            let _ = steer.send(steer::Message::ControlReachable(is_reachable));
+        }),
+    }
+}
+
 /// Forwards each catalogue update to the duties that depend on it.
 fn publisher(
     handle: GatewayHandle,
--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -29,8 +29,9 @@
 /// zones. A control VM that has just started lists all entry VMs within that time.
 pub(super) const ENTRY_MEMORY_MS: u64 = DISTANT_EXPIRY_MS;
 
-/// Replaces routes and entry VM counts, and updates services and upstreams to match the catalogue.
-pub(super) fn apply(state: &mut State, followed: &CatalogView, now: Micros) {
+/// Replaces routes and entry VM counts, and updates tenants, services and upstreams to match the catalogue. Returns
+/// whether tenants have changed, so that requests in progress must be identified again.
+pub(super) fn apply(state: &mut State, followed: &CatalogView, now: Micros) -> bool {
     let catalog = &followed.catalog;
     let is_first = state.version == 0;
     if is_first {
@@ -40,6 +41,7 @@
     let limits = catalog.bounds();
     state.body_bytes = limits.map_or(u64::MAX, |limits| limits.body_bytes);
     state.index = Index::new(catalog);
+    let has_new_tenants = state.tenants.apply(&catalog.tenants, catalog.has_tenants);
     record_entries(state, &followed.zones, now);
     let count = state.entry_count();
     state.slack_share.record_entries(count, now);
@@ -71,6 +73,7 @@
         true
     });
     state.pools = pools;
+    has_new_tenants
 }
 
 /// Records the number of entry VMs in each zone.
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -11,6 +11,7 @@
         clock::Micros,
         courier::Ended,
         keys::{InFlightKey, UpstreamKey},
+        tenants::{self, Credential},
     },
     std::sync::Arc,
 };
@@ -38,6 +39,7 @@
     pub(super) host: &'a str,
     pub(super) path: &'a str,
     pub(super) affinity: Option<u64>,
+    pub(super) credential: Credential,
     pub(super) timeout_ms: Option<u64>,
     /// Size of the body.
     pub(super) body_bytes: u64,
@@ -48,8 +50,8 @@
 /// Admits a request. The effects report whether it is sent, queued or refused.
 ///
 /// # Errors
-/// No configuration is known yet, no route matches, the body is larger than configured, or the route's services have
-/// no weight.
+/// No configuration is known yet, no route matches, the body is larger than configured, the caller is not identified,
+/// or the route's services have no weight.
 pub(super) fn admit(
     state: &mut State,
     head: &RequestHead<'_>,
@@ -68,6 +70,18 @@
     if head.body_bytes > state.body_bytes {
         return Err(Refusal::not_run(Reason::TooLarge));
     }
+    let tenant = tenants::identify(
+        &state.tenants,
+        route.public,
+        head.credential,
+        state.is_control_reachable,
+    );
+    let tenant = tenant.map_err(|reason| Refusal {
+        retry_ms: jittered_ms(MAX_RETRY_MS, head.random),
+        ..Refusal::not_run(reason)
+    })?;
+    let row = tenant.and_then(|key| state.tenants.get(key));
+    let rank = row.and_then(|row| row.rank).unwrap_or(route.rank);
     let Some(service) = pick_service(state, &name, &route) else {
         return Err(Refusal::not_run(Reason::NoUpstream));
     };
@@ -77,6 +91,9 @@
     let in_flight = InFlight {
         send_by: latest_send(&route, work_us, now).min(deadline),
         route,
+        credential: head.credential,
+        tenant,
+        rank,
         service: Arc::clone(&service),
         affinity: head.affinity.unwrap_or(head.random),
         arrived: now,
@@ -156,7 +173,7 @@
     let pool = state.pools.get(&in_flight.service);
     let first = pool.and_then(|pool| pool.waiting.first());
     let first = first.and_then(|first| state.in_flight.get(*first));
-    first.is_some_and(|first| first.route.rank <= in_flight.route.rank)
+    first.is_some_and(|first| first.rank <= in_flight.rank)
 }
 
 fn send(state: &mut State, key: InFlightKey, now: Micros) -> bool {
@@ -183,6 +200,11 @@
         id: Arc::clone(&row.id),
         born: row.born,
         deadline: in_flight.deadline,
+        is_checked: state.tenants.has_tenants(),
+        tenant: in_flight
+            .tenant
+            .and_then(|key| state.tenants.get(key))
+            .map(|row| Arc::clone(&row.name)),
         basis,
     });
     true
@@ -208,11 +230,11 @@
     if waiting >= state.settings.max_waiting {
         return Some(Reason::Shed);
     }
-    let rank = |key: &InFlightKey| state.in_flight.get(*key).map_or(0, |row| row.route.rank);
+    let rank = |key: &InFlightKey| state.in_flight.get(*key).map_or(0, |row| row.rank);
     let ahead = pool
         .waiting
         .iter()
-        .filter(|other| rank(other) <= in_flight.route.rank)
+        .filter(|other| rank(other) <= in_flight.rank)
         .count();
     #[allow(
         clippy::cast_precision_loss,
@@ -225,7 +247,7 @@
 fn enqueue(state: &mut State, key: InFlightKey) {
     let order = |key: &InFlightKey| {
         let in_flight = state.in_flight.get(*key);
-        in_flight.map(|row| (row.route.rank, row.arrived))
+        in_flight.map(|row| (row.rank, row.arrived))
     };
     let key_order = order(&key);
     let Some(in_flight) = state.in_flight.get(key) else {
@@ -371,6 +393,45 @@
     }
 }
 
+/// Reason why a request that was admitted may not be sent any more: its credential no longer identifies the same
+/// tenant. A credential that is valid for another tenant is not unauthorized: its caller may retry as that tenant.
+fn identity_change(state: &State, in_flight: &InFlight) -> Option<Reason> {
+    let identity = tenants::identify(
+        &state.tenants,
+        in_flight.route.public,
+        in_flight.credential,
+        state.is_control_reachable,
+    );
+    match identity {
+        Ok(tenant) if tenant == in_flight.tenant => None,
+        Ok(_) => Some(Reason::IdentityUnknown),
+        Err(reason) => Some(reason),
+    }
+}
+
+/// Refuses the waiting requests whose credential no longer identifies the same tenant, and takes back the attempts of
+/// others that have not been sent yet.
+pub(super) fn apply_identities(state: &mut State, random: u64, now: Micros) {
+    let mut changed = Vec::new();
+    for (key, in_flight) in &state.in_flight {
+        if let Some(reason) = identity_change(state, in_flight) {
+            changed.push((key, reason, in_flight.upstream.is_some()));
+        }
+    }
+    for (key, reason, has_attempt) in changed {
+        if has_attempt {
+            state.effects.push(Effect::Revoke(key));
+            continue;
+        }
+        let service = state.in_flight.get(key).map(|row| Arc::clone(&row.service));
+        let pool = service.and_then(|service| state.pools.get_mut(&service));
+        if let Some(pool) = pool {
+            pool.waiting.retain(|other| *other != key);
+        }
+        refuse(state, key, reason, Ran::No, random ^ key_bits(key), now);
+    }
+}
+
 /// Retries a request if that is safe and within its limits; refuses it otherwise.
 fn retry(state: &mut State, key: InFlightKey, reason: Reason, ran: Ran, random: u64, now: Micros) {
     let Some(in_flight) = state.in_flight.get_mut(key) else {
@@ -394,6 +455,10 @@
     if is_over || !is_safe || !has_attempts_left {
         return refuse(state, key, reason, ran, random, now);
     }
+    let in_flight = state.in_flight.get(key);
+    if let Some(reason) = in_flight.and_then(|row| identity_change(state, row)) {
+        return refuse(state, key, reason, ran, random, now);
+    }
     if reached_upstream {
         let permille = state.settings.retry_permille;
         let slack = state.slack_share.of(state.settings.retry_slack, now);
--- a/src/steer/learn.rs
+++ b/src/steer/learn.rs
@@ -100,7 +100,10 @@
                 }
                 upstream.record_load(load.unwrap_or(full), now);
             }
-            Reason::Cancelled | Reason::DeadlineExceeded | Reason::Poisoned => {}
+            Reason::Cancelled
+            | Reason::DeadlineExceeded
+            | Reason::Poisoned
+            | Reason::IdentityUnknown => {}
             Reason::AnswerTimeout | Reason::AnswerMismatch => {
                 upstream.failure_rate += EWMA_WEIGHT * (1.0 - upstream.failure_rate);
                 if upstream.failure_rate > MAX_FAILURE_RATE {
--- a/src/steer/messages.rs
+++ b/src/steer/messages.rs
@@ -6,6 +6,7 @@
         cancel::Cancel,
         catalog::follow::CatalogView,
         courier::Report,
+        tenants::Credential,
     },
     std::sync::Arc,
 };
@@ -18,6 +19,8 @@
     pub host: String,
     /// Hash of the affinity key, if the request has one.
     pub affinity: Option<u64>,
+    /// Credential of the caller.
+    pub credential: Credential,
     /// Milliseconds until the caller times out, if it sent a deadline.
     pub timeout_ms: Option<u64>,
     /// The request as it is sent to upstreams.
@@ -46,4 +49,6 @@
     AttemptEnded(Box<Report>),
     /// A newer catalogue, or a change of the control or entry VMs.
     CatalogUpdate(Box<CatalogView>),
+    /// Whether any control VM can be reached.
+    ControlReachable(bool),
 }
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -44,9 +44,8 @@
     if !upstream.eligible || now < upstream.backoff_until || is_tried {
         return false;
     }
-    let homes = &in_flight.route.homes;
     let region = state.regions.get(&*upstream.zone);
-    homes.is_empty() || region.is_some_and(|region| homes.iter().any(|home| **home == **region))
+    in_flight.may_enter(region, &state.tenants)
 }
 
 /// Requests per second that this VM may send to a cold upstream: its share of the limit for all entry VMs.
@@ -185,8 +184,7 @@
 fn collect(state: &State, pool: &Pool, in_flight: &InFlight, now: Micros) -> Candidates {
     let mut candidates = Candidates::default();
     // Requests whose homes exclude this region are not paced.
-    let homes = &in_flight.route.homes;
-    let is_homed_elsewhere = !homes.is_empty() && !homes.iter().any(|home| **home == *state.region);
+    let is_homed_elsewhere = !in_flight.may_enter(Some(&state.region), &state.tenants);
     let is_unlimited = pool.pacer.is_first_window() && capacity_ratio(state, pool) < 1.0;
     let unlimited = if is_unlimited {
         1.0
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -13,9 +13,10 @@
         catalog::{Route, Service},
         clock::Micros,
         courier::Load,
-        keys::{InFlightKey, UpstreamKey},
+        keys::{InFlightKey, TenantKey, UpstreamKey},
         routes::Index,
         sorted::Sorted,
+        tenants::{self, Credential},
     },
     slotmap::SlotMap,
     std::{net::SocketAddr, sync::Arc},
@@ -163,6 +164,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct InFlight {
     pub(super) route: Arc<Route>,
+    pub(super) credential: Credential,
+    /// Tenant that it was admitted as.
+    pub(super) tenant: Option<TenantKey>,
+    /// Priority when capacity is scarce: the tenant's if it has one, otherwise the route's.
+    pub(super) rank: u32,
     pub(super) service: Arc<str>,
     pub(super) affinity: u64,
     pub(super) arrived: Micros,
@@ -185,6 +191,16 @@
     pub(super) fn is_repeatable(&self) -> bool {
         self.route.kind.is_repeatable()
     }
+
+    /// Whether it may be sent to upstreams in `region`: its route and its tenant both allow it.
+    pub(super) fn may_enter(&self, region: Option<&Arc<str>>, tenants: &tenants::Index) -> bool {
+        let tenant = self.tenant.and_then(|key| tenants.get(key));
+        let allows = |homes: &[String]| {
+            homes.is_empty()
+                || region.is_some_and(|region| homes.iter().any(|home| **home == **region))
+        };
+        allows(&self.route.homes) && tenant.is_none_or(|tenant| allows(&tenant.homes))
+    }
 }
 
 /// Action that the thread has to carry out.
@@ -198,9 +214,15 @@
         /// Incarnation of the upstream.
         born: u64,
         deadline: Micros,
+        /// Whether callers need an API key.
+        is_checked: bool,
+        /// Name of the caller's tenant.
+        tenant: Option<Arc<str>>,
         /// Basis of the choice, for the log.
         basis: Basis,
     },
+    /// Takes back an attempt that has not been sent yet: the caller's identity has changed.
+    Revoke(InFlightKey),
     /// Delivers the response that has arrived.
     Deliver(InFlightKey),
     /// Refuses the request without an upstream's response.
@@ -240,6 +262,9 @@
     /// Maximum size of a request body in bytes, as configured.
     pub(super) body_bytes: u64,
     pub(super) index: Index,
+    pub(super) tenants: tenants::Index,
+    /// Whether any control VM can be reached.
+    pub(super) is_control_reachable: bool,
     pub(super) upstreams: SlotMap<UpstreamKey, Upstream>,
     pub(super) ids: Sorted<Arc<str>, UpstreamKey>,
     pub(super) pools: Sorted<Arc<str>, Pool>,
@@ -278,6 +303,8 @@
             version: 0,
             body_bytes: u64::MAX,
             index: Index::default(),
+            tenants: tenants::Index::default(),
+            is_control_reachable: false,
             upstreams: SlotMap::default(),
             ids: Sorted::default(),
             pools: Sorted::default(),
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -3,6 +3,7 @@
 mod locality;
 mod shares;
 mod slow_start;
+mod tenants;
 
 use {
     super::{
@@ -21,6 +22,7 @@
         clock::Micros,
         courier::{Ended, Load},
         keys::InFlightKey,
+        tenants::Credential,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::sync::Arc,
@@ -75,7 +77,9 @@
             control: Arc::default(),
             zones: Arc::new(self.zones.clone()),
         };
-        catalog::apply(&mut self.state, &followed, self.now);
+        if catalog::apply(&mut self.state, &followed, self.now) {
+            decide::apply_identities(&mut self.state, 7, self.now);
+        }
     }
 
     fn admit(&mut self, path: &str, affinity: u64) -> InFlightKey {
@@ -83,6 +87,7 @@
             host: "h",
             path,
             affinity: Some(affinity),
+            credential: Credential::None,
             timeout_ms: Some(2_000),
             body_bytes: 0,
             random: 7,
@@ -107,6 +112,7 @@
     fn effects(&mut self) -> Vec<String> {
         let describe = |effect: Effect| match effect {
             Effect::Send { id, .. } => format!("send {id}"),
+            Effect::Revoke(_) => "revoke".to_owned(),
             Effect::Deliver(_) => "deliver".to_owned(),
             Effect::Refuse(_, refusal) => {
                 format!("refuse {} {:?}", refusal.reason.name(), refusal.ran)
@@ -476,6 +482,7 @@
         host: "h",
         path: "/none/",
         affinity: None,
+        credential: Credential::None,
         timeout_ms: None,
         body_bytes: 0,
         random: 1,
@@ -617,6 +624,7 @@
             host: "h",
             path: "/wide/x",
             affinity: Some(number),
+            credential: Credential::None,
             timeout_ms,
             body_bytes: 0,
             random: number,
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -11,10 +11,10 @@
     },
     crate::{
         call::{Answer, Payload, Reason, Refusal, Reply},
-        cancel::Cancel,
+        cancel::{self, Cancel, Guard},
         clock::Micros,
         context::Context,
-        courier::{Dispatch, Ended, Report, Target},
+        courier::{Caller, Dispatch, Ended, Report, Target},
         duty,
         keys::InFlightKey,
         observe::{Event, report, report_with},
@@ -59,6 +59,8 @@
     reply: Reply,
     /// Upstream that it was last sent to.
     upstream: Arc<str>,
+    /// Held until the attempt may no longer be sent.
+    unrevoked: Option<Guard>,
 }
 
 struct Duty {
@@ -106,9 +108,14 @@
                 Wait::Message(Message::AttemptEnded(report)) => self.finish_attempt(*report),
                 Wait::Message(Message::CatalogUpdate(followed)) => {
                     let now = self.context.clock.now();
-                    catalog::apply(&mut self.state, &followed, now);
+                    if catalog::apply(&mut self.state, &followed, now) {
+                        decide::apply_identities(&mut self.state, rand::random(), now);
+                    }
                     self.record_catalog(&followed.catalog);
                 }
+                Wait::Message(Message::ControlReachable(is_reachable)) => {
+                    self.state.is_control_reachable = is_reachable;
+                }
                 Wait::Timeout => {}
                 Wait::Closed => return,
             }
@@ -134,6 +141,7 @@
             host: &request.host,
             path,
             affinity: request.affinity,
+            credential: request.credential,
             timeout_ms: request.timeout_ms,
             body_bytes: request.payload.body.len() as u64,
             random: rand::random(),
@@ -154,6 +162,7 @@
                     cancel: request.cancel,
                     reply: request.reply,
                     upstream: "".into(),
+                    unrevoked: None,
                 };
                 self.pending.insert(key, pending);
                 self.apply_effects(None);
@@ -280,6 +289,8 @@
                 id,
                 born,
                 deadline,
+                is_checked,
+                tenant,
                 basis,
             } => {
                 let Some(pending) = self.pending.get_mut(in_flight) else {
@@ -312,11 +323,18 @@
                         pending.name, basis.load, basis.slots, basis.distance, basis.affinity_rank
                     ),
                 );
+                let (guard, revoked) = is_checked.then(cancel::channel).unzip();
+                pending.unrevoked = guard;
                 let dispatch = Dispatch {
                     in_flight,
                     target: Target { address, id, born },
                     until: deadline,
                     payload: Arc::clone(&pending.payload),
+                    caller: Caller {
+                        is_checked,
+                        tenant,
+                        revoked,
+                    },
                     cancel: pending.cancel.clone(),
                 };
                 if self.courier.offer(dispatch).is_err() {
@@ -324,6 +342,11 @@
                     self.unsent.push(in_flight);
                 }
             }
+            Effect::Revoke(in_flight) => {
+                if let Some(pending) = self.pending.get_mut(in_flight) {
+                    pending.unrevoked = None;
+                }
+            }
             Effect::Deliver(in_flight) => {
                 if let (Some(pending), Some(response)) =
                     (self.pending.remove(in_flight), response.take())
--- a/src/tenants/digest.rs
+++ b/src/tenants/digest.rs
@@ -29,4 +29,17 @@
         bytes.copy_from_slice(&Sha256::digest(key)[..BYTES]);
         Self(bytes)
     }
+    /// Scales the digest to `0..count`, preserving the order of digests.
+    ///
+    /// ```
+    /// use siskinstep::tenants::Digest;
+    /// assert!(Digest::of(b"key").scaled_to(7) < 7);
+    /// ```
+    #[must_use]
+    pub fn scaled_to(&self, count: usize) -> usize {
+        let mut prefix = [0; size_of::<u64>()];
+        prefix.copy_from_slice(&self.0[..size_of::<u64>()]);
+        let scaled = (u128::from(u64::from_be_bytes(prefix)) * count as u128) >> u64::BITS;
+        usize::try_from(scaled).unwrap_or_default()
+    }
 }
