Do not count requests with a remote home as overflow of the region

Cause: a request whose tenant allows only other regions was recorded as one that left the region: as a failure of the local zone in the choice of local keys, and in the paced share, which others then had to keep up.

--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -186,7 +186,7 @@
     let Some((upstream, basis)) = place::choose(state, pool, in_flight, now) else {
         return false;
     };
-    place::record_sent(state, upstream, now);
+    place::record_sent(state, upstream, basis, now);
     let (Some(in_flight), Some(row)) =
         (state.in_flight.get_mut(key), state.upstreams.get(upstream))
     else {
@@ -378,7 +378,7 @@
         return;
     };
     let is_cancelled = matches!(ended, Ended::Failed { reason, .. } if reason == Reason::Cancelled);
-    if in_flight.tried.len() > 1 || is_cancelled {
+    if in_flight.tried.len() > 1 || is_cancelled || basis.is_remote_home {
         return;
     }
     let Some(pool) = state.pools.get_mut(&in_flight.service) else {
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -181,10 +181,14 @@
 }
 
 /// Collects the upstreams that may be sent `in_flight` now, with their estimated loads.
-fn collect(state: &State, pool: &Pool, in_flight: &InFlight, now: Micros) -> Candidates {
+fn collect(
+    state: &State,
+    pool: &Pool,
+    in_flight: &InFlight,
+    is_remote_home: bool,
+    now: Micros,
+) -> Candidates {
     let mut candidates = Candidates::default();
-    // Requests whose homes exclude this region are not paced.
-    let is_homed_elsewhere = !in_flight.may_enter(Some(&state.region), &state.tenants);
     let is_unlimited = pool.pacer.is_first_window() && capacity_ratio(state, pool) < 1.0;
     let unlimited = if is_unlimited {
         1.0
@@ -199,7 +203,7 @@
         if !may_serve(state, in_flight, *key, upstream, now) {
             continue;
         }
-        if upstream.distance == 2 && !may_leave && !is_homed_elsewhere {
+        if upstream.distance == 2 && !may_leave && !is_remote_home {
             continue;
         }
         let tokens = slow_start_tokens(state, pool, upstream, now);
@@ -228,10 +232,12 @@
                 candidates.spare = Some((upstream.distance, candidate));
             }
         }
-        insert(
-            &mut candidates.preferred[distance][..PREFERRED_BY_DISTANCE[distance]],
-            candidate,
-        );
+        let preferred = if is_remote_home {
+            MAX_PREFERRED
+        } else {
+            PREFERRED_BY_DISTANCE[distance]
+        };
+        insert(&mut candidates.preferred[distance][..preferred], candidate);
     }
     candidates
 }
@@ -248,8 +254,10 @@
     let elapsed_us = now.since(in_flight.arrived).as_secs_f64() * 1e6;
     #[allow(clippy::cast_precision_loss, reason = "far below 2^53 us")]
     let objective_us = in_flight.route.objective_ms as f64 * MILLI - elapsed_us;
-    let mut candidates = collect(state, pool, in_flight, now);
-    let must_leave = pool.pacer.must_leave();
+    // Requests that this region may not serve are not paced, and say nothing about its capacity.
+    let is_remote_home = !in_flight.may_enter(Some(&state.region), &state.tenants);
+    let mut candidates = collect(state, pool, in_flight, is_remote_home, now);
+    let must_leave = pool.pacer.must_leave() && !is_remote_home;
     let is_local = pool.locality.is_local(in_flight.affinity);
     let mut fallback: Option<(Candidate, usize)> = None;
     let mut best: Option<(Candidate, usize)> = None;
@@ -296,7 +304,8 @@
         slots: upstream.slots,
         distance: upstream.distance,
         affinity_rank: rank,
-        spilled: is_local && !must_leave && upstream.distance > 0,
+        spilled: is_local && !must_leave && !is_remote_home && upstream.distance > 0,
+        is_remote_home,
         expects_wait: candidate.wait_us > 0.0,
         cached: candidate.cached,
     };
@@ -319,7 +328,7 @@
 }
 
 /// Records that a request is sent to `key`.
-pub(super) fn record_sent(state: &mut State, key: UpstreamKey, now: Micros) {
+pub(super) fn record_sent(state: &mut State, key: UpstreamKey, basis: Basis, now: Micros) {
     let Some(upstream) = state.upstreams.get(key) else {
         return;
     };
@@ -339,7 +348,9 @@
             });
         }
     }
-    if let Some(pool) = state.pools.get_mut(&service) {
+    if let Some(pool) = state.pools.get_mut(&service)
+        && !basis.is_remote_home
+    {
         pool.pacer.record(is_remote);
     }
 }
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -244,6 +244,8 @@
     pub(super) affinity_rank: usize,
     /// Whether the key prefers the local zone, but no upstream there could be selected.
     pub(super) spilled: bool,
+    /// Whether the request may not be served in the local region.
+    pub(super) is_remote_home: bool,
     /// Whether a wait at the upstream was expected.
     pub(super) expects_wait: bool,
     /// Whether the upstream was assumed to have the key's data cached.
--- a/src/steer/tests/tenants.rs
+++ b/src/steer/tests/tenants.rs
@@ -285,3 +285,24 @@
     world.respond(key);
     assert_eq!(world.effects(), ["deliver"]);
 }
+
+/// Guards against requests that may only be served in another region and that count as overflow of this one: others
+/// then leave the region too, although its upstreams are idle.
+#[test]
+fn requests_with_a_remote_home_make_no_others_leave() {
+    let mut world = world();
+    let mut homed = tenant(&["h1"]);
+    homed.homes = vec!["s".to_owned()];
+    world.catalog.tenants.put("homed", homed, 3);
+    world.apply_catalog();
+    for round in 0..200 {
+        world.now = ms(50 * round);
+        decide::tick(&mut world.state, 7, world.now);
+        for (key, expected) in [("h1", "send c1"), ("a1", "send a1")] {
+            let admitted = try_admit(&mut world, "/one/x", credential(key)).unwrap();
+            assert_eq!(world.effects(), [expected], "round {round}");
+            world.respond(admitted);
+            world.effects();
+        }
+    }
+}
