--- a/src/courier/tests/mod.rs
+++ b/src/courier/tests/mod.rs
@@ -174,6 +174,16 @@
     }
 
     fn send_payload(&self, address: SocketAddr, payload: Payload, remaining_ms: u64) -> Guard {
+        self.send_from(address, payload, remaining_ms, Caller::default())
+    }
+
+    fn send_from(
+        &self,
+        address: SocketAddr,
+        payload: Payload,
+        remaining_ms: u64,
+        caller: Caller,
+    ) -> Guard {
         let (guard, cancel) = cancel::channel();
         let dispatch = Dispatch {
             in_flight: InFlightKey::default(),
@@ -184,7 +194,7 @@
             },
             until: self.context.clock.now().plus_millis(remaining_ms),
             payload: payload.into(),
-            caller: Caller::default(),
+            caller,
             cancel,
         };
         self.dispatches.offer(dispatch).unwrap();
@@ -377,3 +387,36 @@
         closed.recv_timeout(Duration::from_mins(1)).unwrap();
     }
 }
+
+/// Guards against an attempt that waits for its connection while the caller's key is removed, and is sent all the same.
+#[test]
+fn an_attempt_of_a_caller_that_is_no_longer_identified_is_not_sent() {
+    let (address, received) = upstream(VALID_RESPONSE, false);
+    let world = World::new();
+    let payload = || Payload {
+        method: "GET".into(),
+        target: "/x".into(),
+        headers: vec![Header {
+            name: "id".into(),
+            value: "7".into(),
+        }],
+        body: "".into(),
+    };
+    let (identified, revoked) = cancel::channel();
+    let caller = Caller {
+        is_checked: true,
+        tenant: None,
+        revoked: Some(revoked),
+    };
+    let _guard = world.send_from(address, payload(), BUDGET_MS, caller.clone());
+    assert!(matches!(
+        world.next_report().ended,
+        Ended::Answered { status: 200, .. }
+    ));
+    received.recv().unwrap();
+    drop(identified);
+    let _guard = world.send_from(address, payload(), BUDGET_MS, caller);
+    let expected = failed(Reason::IdentityUnknown, Ran::No);
+    assert_eq!(world.next_report().ended, expected);
+    assert!(received.try_recv().is_err());
+}
