--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         learn, place,
-        state::{Basis, Effect, InFlight, State},
+        state::{Basis, Effect, InFlight, Preference, State},
     },
     crate::{
         call::{Ran, Reason, Refusal},
@@ -378,7 +378,7 @@
         return;
     };
     let is_cancelled = matches!(ended, Ended::Failed { reason, .. } if reason == Reason::Cancelled);
-    if in_flight.tried.len() > 1 || is_cancelled || basis.is_remote_home {
+    if in_flight.tried.len() > 1 || is_cancelled || basis.preference == Preference::RemoteHome {
         return;
     }
     let Some(pool) = state.pools.get_mut(&in_flight.service) else {
@@ -388,7 +388,7 @@
         && now <= in_flight.arrived.plus_millis(in_flight.route.objective_ms);
     pool.locality
         .record(usize::from(basis.distance), in_time, now);
-    if basis.spilled {
+    if basis.preference == Preference::Spilled {
         pool.locality.record(0, false, now);
     }
 }
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -10,7 +10,9 @@
     super::{
         catalog::ENTRY_MEMORY_MS,
         fleet::RecentMax,
-        state::{Basis, DISTANCES, InFlight, MAX_PREFERRED, Pool, SlowStart, State, Upstream},
+        state::{
+            Basis, DISTANCES, InFlight, MAX_PREFERRED, Pool, Preference, SlowStart, State, Upstream,
+        },
     },
     crate::{clock::Micros, keys::UpstreamKey},
     std::sync::Arc,
@@ -299,13 +301,19 @@
     let spare = spare.map(|(_, candidate)| (candidate, MAX_PREFERRED));
     let (candidate, rank) = best.or(fallback).or(spare)?;
     let upstream = state.upstreams.get(candidate.key)?;
+    let preference = if is_remote_home {
+        Preference::RemoteHome
+    } else if is_local && !must_leave && upstream.distance > 0 {
+        Preference::Spilled
+    } else {
+        Preference::Met
+    };
     let basis = Basis {
         load: candidate.load,
         slots: upstream.slots,
         distance: upstream.distance,
         affinity_rank: rank,
-        spilled: is_local && !must_leave && !is_remote_home && upstream.distance > 0,
-        is_remote_home,
+        preference,
         expects_wait: candidate.wait_us > 0.0,
         cached: candidate.cached,
     };
@@ -349,7 +357,7 @@
         }
     }
     if let Some(pool) = state.pools.get_mut(&service)
-        && !basis.is_remote_home
+        && basis.preference != Preference::RemoteHome
     {
         pool.pacer.record(is_remote);
     }
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -233,6 +233,17 @@
     Retry(Reason),
 }
 
+/// Relation of a placement to the local zone and region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Preference {
+    /// The request went where its key prefers.
+    Met,
+    /// The key prefers the local zone, but no upstream there could be selected.
+    Spilled,
+    /// The request may not be served in the local region.
+    RemoteHome,
+}
+
 /// Basis of a placement.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Basis {
@@ -242,10 +253,7 @@
     pub(super) distance: u8,
     /// Rank among the preferred upstreams of the affinity key; `MAX_PREFERRED` for any other upstream.
     pub(super) affinity_rank: usize,
-    /// Whether the key prefers the local zone, but no upstream there could be selected.
-    pub(super) spilled: bool,
-    /// Whether the request may not be served in the local region.
-    pub(super) is_remote_home: bool,
+    pub(super) preference: Preference,
     /// Whether a wait at the upstream was expected.
     pub(super) expects_wait: bool,
     /// Whether the upstream was assumed to have the key's data cached.
