Add the load estimates and the selection from old reports

Cause: entry VMs that take the upstream with the least estimated load all take the same one after a report, until it rejects them.

Not used by steer yet.

--- /dev/null
+++ b/src/balance/mod.rs
@@ -0,0 +1,11 @@
+//! Even load from old reports: estimates the load of upstreams and selects among several.
+//!
+//! Many entry VMs select from the same old reports. If all of them took the upstream with the least estimated
+//! load, they would overload one upstream after the other.
+
+pub mod decide;
+pub mod state;
+#[cfg(test)]
+mod tests;
+
+pub use state::{Average, Estimate, Expected, Load};
