Spread requests by the uncertainty of old reports in steer

Cause: collect() took the least estimated load and choose() the first of equal upstreams, so that all entry VMs sent to one upstream after the same report; each request walked and hashed all upstreams of its service.

Change: of the preferred upstreams in time at one distance, the fastest for loads drawn from their distributions is selected; without uncertainty that is the same one as before. Requests without affinity key take the better of two drawn in proportion to slots among those with a free slot; only if the draws find none are all walked. A key's rankings are kept while the upstreams stay the same, and the share of lost slots is computed only for other regions. slow_percent counts in the expected latency.

The existing tests of steer are unchanged.

--- a/src/balance/decide.rs
+++ b/src/balance/decide.rs
@@ -108,7 +108,13 @@
 }
 
 /// A number with mean 0, variance 1 and bounds of 3.5, nearly normal: the sum of four uniform numbers.
-fn deviation(random: u64, nth: u64) -> f64 {
+///
+/// ```
+/// use siskinstep::balance::decide::deviation;
+/// assert!((0..100).all(|nth| deviation(7, nth).abs() < 3.5));
+/// ```
+#[must_use]
+pub fn deviation(random: u64, nth: u64) -> f64 {
     let sum: f64 = (0..4).map(|part| draw(random, nth * 4 + part)).sum();
     (sum - 2.0) * 3.0_f64.sqrt()
 }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,8 +4,12 @@
 //! load, they would overload one upstream after the other.
 
 pub mod decide;
+mod ranking;
 pub mod state;
 #[cfg(test)]
 mod tests;
 
-pub use state::{Average, Estimate, Expected, Load};
+pub use {
+    ranking::{Ranking, Rankings},
+    state::{Average, Estimate, Expected, Load},
+};
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -9,6 +9,8 @@
 const SILENCE_HALF_LIFE_S: f64 = 0.5;
 /// Half-life in seconds of a reported deviation from the usual work time, which changes many times per second.
 const SLOW_HALF_LIFE_S: f64 = 0.1;
+/// Age in seconds at which the rest of it is dropped: otherwise it would decide between equal upstreams.
+const SLOW_END_S: f64 = 1.0;
 /// Bounds of the reported work time, relative to the usual one: a wrong figure must neither attract all requests
 /// nor exclude an upstream.
 const SLOW_BOUNDS: (f64, f64) = (0.25, 10.0);
@@ -183,10 +185,11 @@
     #[must_use]
     pub fn slowness(&self, usual: f64, now: Micros) -> f64 {
         let (slow, at) = self.slow;
-        if at == Micros(0) {
+        let age_s = now.since(at).as_secs_f64();
+        if at == Micros(0) || age_s >= SLOW_END_S {
             return usual;
         }
-        usual + (slow - usual) * kept(now.since(at).as_secs_f64(), SLOW_HALF_LIFE_S)
+        usual + (slow - usual) * kept(age_s, SLOW_HALF_LIFE_S)
     }
 }
 
--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -7,9 +7,10 @@
         locality::Locality,
         pacing::RegionPacer,
         settings::Settings,
-        state::{AverageLoad, DISTANCES, MAX_PREFERRED, Pool, Rate, ReportedLoad, State, Upstream},
+        state::{DISTANCES, MAX_PREFERRED, Pool, Rate, State, Upstream},
     },
     crate::{
+        balance::{Average, Estimate, Rankings},
         beacon::state::DISTANT_EXPIRY_MS,
         catalog::{self, Service, follow::CatalogView},
         clock::Micros,
@@ -66,8 +67,16 @@
     }
     let mut pools = std::mem::take(&mut state.pools);
     pools.retain(|name, pool| {
-        let key_of = |(key, row): (UpstreamKey, &Upstream)| (row.service == *name).then_some(key);
-        pool.upstreams = state.upstreams.iter().filter_map(key_of).collect();
+        let mut upstreams: [Vec<UpstreamKey>; DISTANCES] = Default::default();
+        pool.most_slots = 0;
+        for (key, row) in state.upstreams.iter().filter(|row| row.1.service == *name) {
+            upstreams[usize::from(row.distance)].push(key);
+            pool.most_slots = pool.most_slots.max(row.slots);
+        }
+        if pool.upstreams != upstreams {
+            pool.upstreams = upstreams;
+            pool.rankings.clear();
+        }
         true
     });
     state.pools = pools;
@@ -113,12 +122,14 @@
 fn new_pool(service: Service, settings: &Settings) -> Pool {
     Pool {
         service,
-        upstreams: Vec::new(),
+        upstreams: Default::default(),
+        most_slots: 0,
+        rankings: Rankings::default(),
         waiting: Vec::new(),
         cached_us: INITIAL_WORK_US,
         uncached_us: [[INITIAL_WORK_US; MAX_PREFERRED]; DISTANCES],
         work_us: [INITIAL_WORK_US; DISTANCES],
-        average_load: [AverageLoad::default(); DISTANCES],
+        average_load: [Average::default(); DISTANCES],
         completions: Rate::default(),
         budget: RetryBudget::new(settings.retry_ms),
         pacer: RegionPacer::new(settings.move_permille, settings.move_ms),
@@ -192,7 +203,7 @@
         seq: row.seq,
         eligible,
         in_flight_count: 0,
-        reported: ReportedLoad::default(),
+        reported: Estimate::default(),
         slowness: (1.0, now),
         failure_rate: 0.0,
         failures: 0,
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -74,11 +74,14 @@
     let timeout_ms = head.timeout_ms.unwrap_or(state.settings.timeout_ms);
     let deadline = now.plus_millis(timeout_ms.min(route.timeout_ms));
     let work_us = state.pools.get(&service).map_or(0.0, |pool| pool.cached_us);
+    let is_keyless = !route.affinity || head.affinity.is_none();
     let in_flight = InFlight {
         send_by: latest_send(&route, work_us, now).min(deadline),
         route,
         service: Arc::clone(&service),
         affinity: head.affinity.unwrap_or(head.random),
+        is_keyless,
+        random: head.random,
         arrived: now,
         deadline,
         upstream: None,
@@ -160,6 +163,7 @@
 }
 
 fn send(state: &mut State, key: InFlightKey, now: Micros) -> bool {
+    place::rank_upstreams(state, key);
     let Some(in_flight) = state.in_flight.get(key) else {
         return false;
     };
@@ -194,8 +198,7 @@
     let Some(pool) = state.pools.get(&in_flight.service) else {
         return Some(Reason::NoUpstream);
     };
-    let upstreams = pool.upstreams.iter();
-    let members = upstreams.filter_map(|key| state.upstreams.get(*key));
+    let members = pool.keys().filter_map(|key| state.upstreams.get(*key));
     if !members.clone().any(|upstream| upstream.eligible) {
         return Some(Reason::NoUpstream);
     }
--- a/src/steer/learn.rs
+++ b/src/steer/learn.rs
@@ -60,6 +60,7 @@
 /// Records the outcome of an attempt for its upstream: load, failure rate and back-off.
 pub(super) fn record_outcome(state: &mut State, key: UpstreamKey, ended: Ended, now: Micros) {
     let (backoff_ms, max_ms) = (state.settings.backoff_ms, state.settings.max_backoff_ms);
+    let decay_ms = state.settings.load_decay_ms;
     let Some(upstream) = state.upstreams.get_mut(key) else {
         return;
     };
@@ -71,11 +72,11 @@
         upstream.backoff_until = upstream.backoff_until.max(now.plus_millis(ms));
         upstream.failures += 1;
     };
-    let last_report = upstream.reported.at;
+    let last_report = upstream.reported.at();
     match ended {
         Ended::Answered { status, load } => {
             if let Some(load) = load {
-                upstream.record_load(load, now);
+                upstream.record_load(load, decay_ms, now);
             }
             let failed = if status >= 500 { 1.0 } else { 0.0 };
             upstream.failure_rate += EWMA_WEIGHT * (failed - upstream.failure_rate);
@@ -98,7 +99,7 @@
                 if has_room {
                     upstream.failure_rate += EWMA_WEIGHT * (1.0 - upstream.failure_rate);
                 }
-                upstream.record_load(load.unwrap_or(full), now);
+                upstream.record_load(load.unwrap_or(full), decay_ms, now);
             }
             Reason::Cancelled | Reason::DeadlineExceeded | Reason::Poisoned => {}
             Reason::AnswerTimeout | Reason::AnswerMismatch => {
@@ -113,8 +114,8 @@
             }
         },
     }
-    if upstream.reported.at > last_report {
-        let per_slot = upstream.reported.others / f64::from(upstream.slots.max(1));
+    if upstream.reported.at() > last_report {
+        let per_slot = upstream.reported.others() / f64::from(upstream.slots.max(1));
         let distance = usize::from(upstream.distance);
         if let Some(pool) = state.pools.get_mut(&upstream.service) {
             pool.average_load[distance].record(per_slot, now);
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -12,7 +12,12 @@
         fleet::RecentMax,
         state::{Basis, DISTANCES, InFlight, MAX_PREFERRED, Pool, SlowStart, State, Upstream},
     },
-    crate::{clock::Micros, keys::UpstreamKey},
+    crate::{
+        balance::{Expected, Ranking, decide as balance},
+        clock::Micros,
+        keys::{InFlightKey, UpstreamKey},
+    },
+    slotmap::SlotMap,
     std::sync::Arc,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
@@ -92,11 +97,11 @@
 #[derive(Clone, Copy)]
 struct Candidate {
     key: UpstreamKey,
-    /// Rendezvous hashing score.
-    score: u64,
-    load: f64,
+    expected: Expected,
     /// Expected microseconds until the response.
     latency_us: f64,
+    /// The same for a load drawn from its distribution.
+    drawn_us: f64,
     /// Expected microseconds of waiting at the upstream.
     wait_us: f64,
     /// Whether the key's data is assumed to be cached there.
@@ -116,7 +121,7 @@
     let uncached_us = pool.uncached_us[distance][rank].max(pool.cached_us);
     let work_us = if cached { pool.cached_us } else { uncached_us };
     let slots = f64::from(upstream.slots.max(1));
-    let slowness = upstream.slowness(now);
+    let slowness = upstream.present_slowness(now);
     let wait_us = (load + 1.0 - slots).max(0.0) / slots * pool.work_us[distance] * slowness;
     // A failed attempt has to be repeated at another upstream.
     let retry_us = upstream.failure_rate * uncached_us;
@@ -130,7 +135,7 @@
 /// not counted: full upstreams refuse connections too, and pacing covers that.
 fn lost_share(state: &State, pool: &Pool) -> f64 {
     let (mut total, mut lost) = (0.0, 0.0);
-    for key in &pool.upstreams {
+    for key in pool.keys() {
         let regional = state.upstreams.get(*key).filter(|row| row.distance < 2);
         let Some(upstream) = regional else { continue };
         let slots = f64::from(upstream.slots);
@@ -148,7 +153,7 @@
 /// later. Exceeds 1 if there is surplus capacity.
 pub(super) fn capacity_ratio(state: &State, pool: &Pool) -> f64 {
     let (mut total, mut regional) = (0.0, 0.0);
-    for key in &pool.upstreams {
+    for key in pool.keys() {
         let eligible = state.upstreams.get(*key).filter(|row| row.eligible);
         let Some(upstream) = eligible else { continue };
         let slots = f64::from(upstream.slots);
@@ -172,75 +177,144 @@
     regional / f64::max(total, 1.0) / demand
 }
 
-/// Upstreams that may be sent a request now.
-#[derive(Default)]
-struct Candidates {
-    /// Preferred upstreams of the affinity key, by distance and rank.
-    preferred: [[Option<Candidate>; MAX_PREFERRED]; DISTANCES],
-    /// The nearest upstream with a free slot, and the least loaded of these.
-    spare: Option<(u8, Candidate)>,
-}
-
-/// Collects the upstreams that may be sent `in_flight` now, with their estimated loads.
-fn collect(state: &State, pool: &Pool, in_flight: &InFlight, now: Micros) -> Candidates {
-    let mut candidates = Candidates::default();
+/// Whether `in_flight` may be sent to another region.
+fn may_leave(state: &State, pool: &Pool, in_flight: &InFlight, now: Micros) -> bool {
     // Requests whose homes exclude this region are not paced.
     let homes = &in_flight.route.homes;
-    let is_homed_elsewhere = !homes.is_empty() && !homes.iter().any(|home| **home == *state.region);
+    if !homes.is_empty() && !homes.iter().any(|home| **home == *state.region) {
+        return true;
+    }
     let is_unlimited = pool.pacer.is_first_window() && capacity_ratio(state, pool) < 1.0;
     let unlimited = if is_unlimited {
         1.0
     } else {
         lost_share(state, pool)
     };
-    let may_leave = pool.pacer.may_leave(unlimited, now);
-    for key in &pool.upstreams {
-        let Some(upstream) = state.upstreams.get(*key) else {
-            continue;
+    pool.pacer.may_leave(unlimited, now)
+}
+
+/// Keeps the upstreams that the affinity key of a request prefers, so that they are not searched again.
+pub(super) fn rank_upstreams(state: &mut State, key: InFlightKey) {
+    let Some(in_flight) = state.in_flight.get(key).filter(|row| !row.is_keyless) else {
+        return;
+    };
+    let Some(pool) = state.pools.get_mut(&in_flight.service) else {
+        return;
+    };
+    let affinity = in_flight.affinity;
+    if pool.rankings.get(affinity).is_none() {
+        let rankings = [0, 1, 2].map(|at| rank(&state.upstreams, &pool.upstreams[at], affinity));
+        pool.rankings.insert(affinity, rankings);
+    }
+}
+
+fn rank(rows: &SlotMap<UpstreamKey, Upstream>, keys: &[UpstreamKey], affinity: u64) -> Ranking {
+    let score = |key: &UpstreamKey| Some((rendezvous_score(rows.get(*key)?, affinity), *key));
+    Ranking::new(keys.iter().filter_map(score))
+}
+
+/// The upstream, if it may be sent `in_flight` now, with its expected load.
+fn candidate<'a>(
+    state: &'a State,
+    pool: &Pool,
+    in_flight: &InFlight,
+    key: UpstreamKey,
+    now: Micros,
+) -> Option<(Candidate, &'a Upstream)> {
+    let upstream = state.upstreams.get(key)?;
+    if !may_serve(state, in_flight, key, upstream, now) {
+        return None;
+    }
+    let tokens = slow_start_tokens(state, pool, upstream, now);
+    if tokens.is_some_and(|tokens| tokens < 1.0) {
+        return None;
+    }
+    let peers = pool.average_load[usize::from(upstream.distance)];
+    let candidate = Candidate {
+        key,
+        expected: upstream.expect(peers, now, state.settings.load_decay_ms),
+        latency_us: 0.0,
+        drawn_us: 0.0,
+        wait_us: 0.0,
+        cached: false,
+    };
+    Some((candidate, upstream))
+}
+
+/// The first upstreams at a distance that the affinity key prefers and that may be sent `in_flight` now.
+fn preferred(
+    state: &State,
+    pool: &Pool,
+    in_flight: &InFlight,
+    distance: usize,
+    now: Micros,
+) -> Vec<Candidate> {
+    let count = PREFERRED_BY_DISTANCE[distance];
+    let accept = |key| candidate(state, pool, in_flight, key, now).map(|row| row.0);
+    let rankings = pool.rankings.get(in_flight.affinity);
+    if let Some(rows) = rankings.and_then(|rows| rows[distance].take(count, accept)) {
+        return rows;
+    }
+    let score = |key: &UpstreamKey| {
+        let (candidate, upstream) = candidate(state, pool, in_flight, *key, now)?;
+        Some((rendezvous_score(upstream, in_flight.affinity), candidate))
+    };
+    let mut rows: Vec<(u64, Candidate)> =
+        pool.upstreams[distance].iter().filter_map(score).collect();
+    rows.sort_by_key(|row| std::cmp::Reverse(row.0));
+    rows.into_iter().map(|row| row.1).take(count).collect()
+}
+
+/// The better of a few upstreams with a free slot among `keys`.
+fn sampled(
+    state: &State,
+    pool: &Pool,
+    in_flight: &InFlight,
+    keys: &[UpstreamKey],
+    now: Micros,
+) -> Option<Candidate> {
+    let accept = |index: usize| {
+        let (candidate, upstream) = candidate(state, pool, in_flight, keys[index], now)?;
+        let row = balance::Candidate {
+            expected: candidate.expected,
+            slots: upstream.slots,
+            slowness: upstream.present_slowness(now),
         };
-        if !may_serve(state, in_flight, *key, upstream, now) {
-            continue;
-        }
-        if upstream.distance == 2 && !may_leave && !is_homed_elsewhere {
-            continue;
-        }
-        let tokens = slow_start_tokens(state, pool, upstream, now);
-        if tokens.is_some_and(|tokens| tokens < 1.0) {
-            continue;
+        (row.expected.load < f64::from(row.slots)).then_some(row)
+    };
+    let random = attempt_random(in_flight);
+    let index = balance::select(keys.len(), pool.most_slots, accept, random)?;
+    candidate(state, pool, in_flight, keys[index], now).map(|row| row.0)
+}
+
+/// The better of a few upstreams with a free slot, at the least distance that has one.
+fn spare(state: &State, pool: &Pool, in_flight: &InFlight, now: Micros) -> Option<Candidate> {
+    (0..DISTANCES).find_map(|distance| {
+        if distance == 2 && !may_leave(state, pool, in_flight, now) {
+            return None;
         }
-        let distance = usize::from(upstream.distance);
-        let load = upstream.load(
-            pool.average_load[distance],
-            now,
-            state.settings.load_decay_ms,
-        );
-        let candidate = Candidate {
-            key: *key,
-            score: rendezvous_score(upstream, in_flight.affinity),
-            load,
-            latency_us: 0.0,
-            wait_us: 0.0,
-            cached: false,
+        let has_room = |key: &&UpstreamKey| {
+            candidate(state, pool, in_flight, **key, now)
+                .is_some_and(|(row, upstream)| row.expected.load < f64::from(upstream.slots))
         };
-        if load < f64::from(upstream.slots) {
-            let is_better = |(distance, other): &(u8, Candidate)| {
-                (upstream.distance, load) < (*distance, other.load)
-            };
-            if candidates.spare.as_ref().is_none_or(is_better) {
-                candidates.spare = Some((upstream.distance, candidate));
-            }
-        }
-        insert(
-            &mut candidates.preferred[distance][..PREFERRED_BY_DISTANCE[distance]],
-            candidate,
-        );
-    }
-    candidates
+        let keys = pool.upstreams[distance].iter().filter(has_room);
+        let keys: Vec<UpstreamKey> = keys.copied().collect();
+        let found = sampled(state, pool, in_flight, &keys, now);
+        found.or_else(|| Some(candidate(state, pool, in_flight, *keys.first()?, now)?.0))
+    })
+}
+
+/// Random number of the present attempt.
+fn attempt_random(in_flight: &InFlight) -> u64 {
+    in_flight
+        .random
+        .rotate_left(u32::try_from(in_flight.tried.len()).unwrap_or(0))
 }
 
 /// Selects the upstream for `in_flight`, if it is worth sending now: the nearest whose response is expected in
 /// time, otherwise the first without a wait. A request that misses its objective anyway must not evict
-/// cached data elsewhere.
+/// cached data elsewhere. Among several in time at one distance, the fastest is selected for loads drawn from their
+/// distributions: entry VMs that are unsure whether the first one is full do not all change to the second.
 pub(super) fn choose(
     state: &State,
     pool: &Pool,
@@ -250,26 +324,45 @@
     let elapsed_us = now.since(in_flight.arrived).as_secs_f64() * 1e6;
     #[allow(clippy::cast_precision_loss, reason = "far below 2^53 us")]
     let objective_us = in_flight.route.objective_ms as f64 * MILLI - elapsed_us;
-    let mut candidates = collect(state, pool, in_flight, now);
     let must_leave = pool.pacer.must_leave();
     let is_local = pool.locality.is_local(in_flight.affinity);
+    let random = attempt_random(in_flight);
+    let mut has_preferred = false;
     let mut fallback: Option<(Candidate, usize)> = None;
     let mut best: Option<(Candidate, usize)> = None;
     for distance in pool
         .locality
         .distance_order(in_flight.affinity, must_leave, now)
     {
-        for (rank, candidate) in candidates.preferred[distance].iter_mut().enumerate() {
-            let Some(candidate) = candidate else { continue };
+        if distance == 2 && !may_leave(state, pool, in_flight, now) {
+            continue;
+        }
+        let keys = &pool.upstreams[distance];
+        let mut rows: Vec<Candidate> = Vec::new();
+        if in_flight.is_keyless {
+            rows.extend(sampled(state, pool, in_flight, keys, now));
+        }
+        if rows.is_empty() {
+            rows = preferred(state, pool, in_flight, distance, now);
+        }
+        has_preferred |= !rows.is_empty();
+        for (rank, candidate) in rows.iter_mut().enumerate() {
             let Some(upstream) = state.upstreams.get(candidate.key) else {
                 continue;
             };
             candidate.cached = upstream.has_cached(in_flight.affinity, now);
-            let assumed = (candidate.load, rank, candidate.cached);
-            (candidate.latency_us, candidate.wait_us) =
-                expected_latency(state, pool, upstream, assumed, now);
+            let latency = |load: f64| {
+                let assumed = (load, rank, candidate.cached);
+                expected_latency(state, pool, upstream, assumed, now)
+            };
+            let expected = candidate.expected;
+            let drawn = expected.load
+                + expected.variance.sqrt() * balance::deviation(random, u64::from(rank > 0));
+            let ((latency_us, wait_us), (drawn_us, _)) = (latency(expected.load), latency(drawn));
+            (candidate.latency_us, candidate.wait_us) = (latency_us, wait_us);
+            candidate.drawn_us = drawn_us;
             let is_faster = |other: &Option<(Candidate, usize)>| {
-                other.is_none_or(|(other, _)| candidate.latency_us < other.latency_us)
+                other.is_none_or(|(other, _)| candidate.drawn_us < other.drawn_us)
             };
             // The remote share must not drop abruptly because other regions are briefly full.
             let keeps_share = must_leave
@@ -286,15 +379,15 @@
             break;
         }
     }
+    let found = best.or(fallback);
     // Requests without an affinity key need no preferred upstream.
-    let has_key =
-        in_flight.route.affinity && candidates.preferred.iter().flatten().any(Option::is_some);
-    let spare = candidates.spare.filter(|_| !has_key);
-    let spare = spare.map(|(_, candidate)| (candidate, MAX_PREFERRED));
-    let (candidate, rank) = best.or(fallback).or(spare)?;
+    let may_spare = found.is_none() && !(in_flight.route.affinity && has_preferred);
+    let spare = may_spare.then(|| spare(state, pool, in_flight, now));
+    let spare = spare.flatten().map(|row| (row, MAX_PREFERRED));
+    let (candidate, rank) = found.or(spare)?;
     let upstream = state.upstreams.get(candidate.key)?;
     let basis = Basis {
-        load: candidate.load,
+        load: candidate.expected.load,
         slots: upstream.slots,
         distance: upstream.distance,
         affinity_rank: rank,
@@ -305,21 +398,6 @@
     Some((candidate.key, basis))
 }
 
-/// Keeps the candidates with the highest scores.
-fn insert(ranking: &mut [Option<Candidate>], candidate: Candidate) {
-    let mut next = Some(candidate);
-    for entry in ranking {
-        let is_better = match (&*entry, &next) {
-            (Some(entry), Some(next)) => entry.score < next.score,
-            (None, _) => true,
-            (_, None) => return,
-        };
-        if is_better {
-            std::mem::swap(entry, &mut next);
-        }
-    }
-}
-
 /// Records that a request is sent to `key`.
 pub(super) fn record_sent(state: &mut State, key: UpstreamKey, now: Micros) {
     let Some(upstream) = state.upstreams.get(key) else {
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -9,6 +9,7 @@
         settings::Settings,
     },
     crate::{
+        balance::{self, Average, Estimate, Expected, Rankings},
         call::{Reason, Refusal},
         catalog::{Route, Service},
         clock::Micros,
@@ -31,46 +32,6 @@
 /// Affinity keys remembered for each upstream: twice what it serves in that time at 50 requests per second.
 const MAX_KEYS: usize = 1_024;
 
-/// Half-life in seconds of an upstream's average load: a full queue drains in about that time without new
-/// requests.
-const AVERAGE_HALF_LIFE_S: f64 = 2.0;
-
-/// Half-life in seconds of the average load at a distance while no report arrives.
-const SILENCE_HALF_LIFE_S: f64 = 0.5;
-
-/// Load reported by an upstream, without the requests of this VM.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct ReportedLoad {
-    /// Requests of other VMs there.
-    pub(super) others: f64,
-    /// Moving average of `others`.
-    pub(super) average: f64,
-    /// Time of the report.
-    pub(super) at: Micros,
-}
-
-/// Average load that other VMs cause at the upstreams of a service at one distance, per slot. One of many
-/// entry VMs receives few reports from each upstream, but many from all of them together.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct AverageLoad {
-    per_slot: f64,
-    at: Micros,
-}
-
-impl AverageLoad {
-    pub(super) fn record(&mut self, per_slot: f64, now: Micros) {
-        let kept = (-now.since(self.at).as_secs_f64() / AVERAGE_HALF_LIFE_S).exp2();
-        self.per_slot = per_slot + (self.per_slot - per_slot) * kept;
-        self.at = now;
-    }
-
-    /// Average load, which decays while no reports arrive: the upstreams may have free slots again, so that
-    /// a probe is worthwhile.
-    pub(super) fn read(self, now: Micros) -> f64 {
-        self.per_slot * (-now.since(self.at).as_secs_f64() / SILENCE_HALF_LIFE_S).exp2()
-    }
-}
-
 /// Token bucket for the requests that a cold upstream may be sent.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SlowStart {
@@ -99,7 +60,8 @@
     pub(super) eligible: bool,
     /// Requests of this VM in flight there.
     pub(super) in_flight_count: u32,
-    pub(super) reported: ReportedLoad,
+    /// Load that it reported.
+    pub(super) reported: Estimate,
     /// Moving average of its work time relative to the expected one, and the time of the newest sample.
     pub(super) slowness: (f64, Micros),
     /// Moving average of the share of attempts that failed there.
@@ -117,7 +79,12 @@
 #[derive(Clone, Debug)]
 pub(super) struct Pool {
     pub(super) service: Service,
-    pub(super) upstreams: Vec<UpstreamKey>,
+    /// Its upstreams, by distance.
+    pub(super) upstreams: [Vec<UpstreamKey>; DISTANCES],
+    /// The highest number of slots of an upstream.
+    pub(super) most_slots: u32,
+    /// Preferred upstreams of affinity keys.
+    pub(super) rankings: Rankings<DISTANCES>,
     /// Waiting requests, by rank and then by arrival.
     pub(super) waiting: Vec<InFlightKey>,
     /// Moving averages of an upstream's work time in microseconds: for affinity keys that it recently served
@@ -127,7 +94,7 @@
     /// Moving averages of the work time of all requests in microseconds, by distance.
     pub(super) work_us: [f64; DISTANCES],
     /// Average load that other VMs cause at the upstreams, by distance.
-    pub(super) average_load: [AverageLoad; DISTANCES],
+    pub(super) average_load: [Average; DISTANCES],
     /// Rate of completed requests.
     pub(super) completions: Rate,
     /// Limits retries.
@@ -165,6 +132,10 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
     pub(super) affinity: u64,
+    /// Whether any upstream serves it equally well, as it has no affinity key.
+    pub(super) is_keyless: bool,
+    /// Drawn anew for each request.
+    pub(super) random: u64,
     pub(super) arrived: Micros,
     /// Time at which it times out.
     pub(super) deadline: Micros,
@@ -311,18 +282,18 @@
     }
 }
 
+impl Pool {
+    /// Keys of all its upstreams.
+    pub(super) fn keys(&self) -> impl Iterator<Item = &UpstreamKey> + Clone {
+        self.upstreams.iter().flatten()
+    }
+}
+
 impl Upstream {
-    /// Estimated requests at the upstream: those of this VM and those of others. A report of the others is
-    /// valid for about as long as a request takes, with a half-life of `decay_ms`; after that the average of
-    /// the upstream applies, and later that of its `peers`.
-    pub(super) fn load(&self, peers: AverageLoad, now: Micros, decay_ms: u64) -> f64 {
-        let age = now.since(self.reported.at).as_secs_f64();
-        #[allow(clippy::cast_precision_loss, reason = "far below 2^53 ms")]
-        let half_life = decay_ms.max(1) as f64 / 1_000.0;
-        let peers = peers.read(now) * f64::from(self.slots);
-        let average = peers + (self.reported.average - peers) * (-age / AVERAGE_HALF_LIFE_S).exp2();
-        let others = average + (self.reported.others - average) * (-age / half_life).exp2();
-        f64::from(self.in_flight_count) + others
+    /// Expected requests at the upstream, where a report is valid with a half-life of `decay_ms`.
+    pub(super) fn expect(&self, peers: Average, now: Micros, decay_ms: u64) -> Expected {
+        self.reported
+            .expect(self.in_flight_count, self.slots, peers, now, decay_ms)
     }
 
     /// Limits its requests for `cold_ms` from now on. A slow start that lasts longer continues.
@@ -357,8 +328,13 @@
         }
     }
 
-    /// Factor by which its work time exceeds the average. Decays without new samples, so that the upstream is
-    /// tried again.
+    /// Factor by which its work time exceeds the average at this moment, as far as it reports that.
+    pub(super) fn present_slowness(&self, now: Micros) -> f64 {
+        self.reported.slowness(self.slowness(now), now)
+    }
+
+    /// Factor by which its work time usually exceeds the average. Decays without new samples, so that the upstream
+    /// is tried again.
     pub(super) fn slowness(&self, now: Micros) -> f64 {
         /// Half-life of a deviation in seconds.
         const HALF_LIFE_S: f64 = 3.0;
@@ -367,16 +343,15 @@
     }
 
     /// Records the load reported in the response to a request of this VM.
-    pub(super) fn record_load(&mut self, load: Load, now: Micros) {
-        let total = f64::from(load.running) + f64::from(load.waiting);
-        let others = (total - f64::from(self.in_flight_count)).max(0.0);
-        let age = now.since(self.reported.at).as_secs_f64();
-        let kept = (-age / AVERAGE_HALF_LIFE_S).exp2();
-        self.reported = ReportedLoad {
-            others,
-            average: others + (self.reported.average - others) * kept,
+    pub(super) fn record_load(&mut self, load: Load, decay_ms: u64, now: Micros) {
+        let load = balance::Load {
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            slow_percent: load.slow_percent,
             at: now,
         };
+        self.reported.record(load, self.in_flight_count, decay_ms);
         if load.slots > 0 {
             self.slots = load.slots;
         }
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -1,3 +1,4 @@
+mod balance;
 mod budget;
 mod load;
 mod locality;
