--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -4,6 +4,7 @@
 mod shares;
 mod slow_start;
 mod tenants;
+mod thread;
 
 use {
     super::{
