--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        learn, place,
+        identity, learn, place, split,
         state::{Basis, Effect, InFlight, State},
     },
     crate::{
@@ -11,7 +11,7 @@
         clock::Micros,
         courier::Ended,
         keys::{InFlightKey, UpstreamKey},
-        tenants::{self, Credential},
+        tenants::Credential,
     },
     std::sync::Arc,
 };
@@ -26,7 +26,7 @@
 const PROMPT_DIVISOR: u64 = 8;
 /// Bounds of the delay after which callers are asked to retry, before its random extension.
 const MIN_RETRY_MS: f64 = 100.0;
-const MAX_RETRY_MS: f64 = 1_000.0;
+pub(super) const MAX_RETRY_MS: f64 = 1_000.0;
 /// Milliseconds after which a VM without a configuration usually has one: an election of the control VMs, if
 /// all of them have just restarted, and one response.
 const JOIN_MS: f64 = 600.0;
@@ -70,19 +70,8 @@
     if head.body_bytes > state.body_bytes {
         return Err(Refusal::not_run(Reason::TooLarge));
     }
-    let tenant = tenants::identify(
-        &state.tenants,
-        route.public,
-        head.credential,
-        state.is_control_reachable,
-    );
-    let tenant = tenant.map_err(|reason| Refusal {
-        retry_ms: jittered_ms(MAX_RETRY_MS, head.random),
-        ..Refusal::not_run(reason)
-    })?;
-    let row = tenant.and_then(|key| state.tenants.get(key));
-    let rank = row.and_then(|row| row.rank).unwrap_or(route.rank);
-    let Some(service) = pick_service(state, &name, &route) else {
+    let (tenant, rank) = identity::identify(state, &route, head.credential, head.random)?;
+    let Some(service) = split::pick_service(state, &name, &route) else {
         return Err(Refusal::not_run(Reason::NoUpstream));
     };
     let timeout_ms = head.timeout_ms.unwrap_or(state.settings.timeout_ms);
@@ -125,35 +114,6 @@
     now.plus_millis(slack_ms.max(route.objective_ms / PROMPT_DIVISOR))
 }
 
-/// Picks the service of a traffic split by smooth weighted round-robin, so that each gets its exact share.
-fn pick_service(state: &mut State, name: &Arc<str>, route: &Route) -> Option<Arc<str>> {
-    if let [part] = route.parts.as_slice() {
-        return Some(part.service.as_str().into());
-    }
-    if state
-        .splits
-        .get(name)
-        .is_none_or(|given| given.len() != route.parts.len())
-    {
-        state
-            .splits
-            .insert(Arc::clone(name), vec![0; route.parts.len()]);
-    }
-    let current_weights = state.splits.get_mut(name)?;
-    let mut total = 0;
-    for (value, part) in current_weights.iter_mut().zip(&route.parts) {
-        let weight = i128::from(part.weight);
-        *value += weight;
-        total += weight;
-    }
-    let has_weight = |at: &usize| route.parts[*at].weight > 0;
-    let best = (0..route.parts.len())
-        .filter(has_weight)
-        .max_by_key(|at| current_weights[*at])?;
-    current_weights[best] -= total;
-    Some(route.parts[best].service.as_str().into())
-}
-
 /// Sends, queues or refuses a request.
 fn place_or_enqueue(state: &mut State, key: InFlightKey, random: u64, now: Micros) {
     if !has_waiting_ahead(state, key) && send(state, key, now) {
@@ -267,7 +227,14 @@
 }
 
 /// Ends a request without an upstream's response.
-fn refuse(state: &mut State, key: InFlightKey, reason: Reason, ran: Ran, random: u64, now: Micros) {
+pub(super) fn refuse(
+    state: &mut State,
+    key: InFlightKey,
+    reason: Reason,
+    ran: Ran,
+    random: u64,
+    now: Micros,
+) {
     let Some(in_flight) = state.in_flight.remove(key) else {
         return;
     };
@@ -298,7 +265,7 @@
 }
 
 /// A delay extended at random by up to as much again.
-fn jittered_ms(base_ms: f64, random: u64) -> u32 {
+pub(super) fn jittered_ms(base_ms: f64, random: u64) -> u32 {
     let jitter = f64::from(u16::try_from(random % 1_000).unwrap_or(0)) / 1_000.0;
     #[allow(
         clippy::cast_possible_truncation,
@@ -393,45 +360,6 @@
     }
 }
 
-/// Reason why a request that was admitted may not be sent any more: its credential no longer identifies the same
-/// tenant. A credential that is valid for another tenant is not unauthorized: its caller may retry as that tenant.
-fn identity_change(state: &State, in_flight: &InFlight) -> Option<Reason> {
-    let identity = tenants::identify(
-        &state.tenants,
-        in_flight.route.public,
-        in_flight.credential,
-        state.is_control_reachable,
-    );
-    match identity {
-        Ok(tenant) if tenant == in_flight.tenant => None,
-        Ok(_) => Some(Reason::IdentityUnknown),
-        Err(reason) => Some(reason),
-    }
-}
-
-/// Refuses the waiting requests whose credential no longer identifies the same tenant, and takes back the attempts of
-/// others that have not been sent yet.
-pub(super) fn apply_identities(state: &mut State, random: u64, now: Micros) {
-    let mut changed = Vec::new();
-    for (key, in_flight) in &state.in_flight {
-        if let Some(reason) = identity_change(state, in_flight) {
-            changed.push((key, reason, in_flight.upstream.is_some()));
-        }
-    }
-    for (key, reason, has_attempt) in changed {
-        if has_attempt {
-            state.effects.push(Effect::Revoke(key));
-            continue;
-        }
-        let service = state.in_flight.get(key).map(|row| Arc::clone(&row.service));
-        let pool = service.and_then(|service| state.pools.get_mut(&service));
-        if let Some(pool) = pool {
-            pool.waiting.retain(|other| *other != key);
-        }
-        refuse(state, key, reason, Ran::No, random ^ key_bits(key), now);
-    }
-}
-
 /// Retries a request if that is safe and within its limits; refuses it otherwise.
 fn retry(state: &mut State, key: InFlightKey, reason: Reason, ran: Ran, random: u64, now: Micros) {
     let Some(in_flight) = state.in_flight.get_mut(key) else {
@@ -456,7 +384,7 @@
         return refuse(state, key, reason, ran, random, now);
     }
     let in_flight = state.in_flight.get(key);
-    if let Some(reason) = in_flight.and_then(|row| identity_change(state, row)) {
+    if let Some(reason) = in_flight.and_then(|row| identity::change(state, row)) {
         return refuse(state, key, reason, ran, random, now);
     }
     if reached_upstream {
@@ -510,7 +438,7 @@
     }
 }
 
-fn key_bits(key: InFlightKey) -> u64 {
+pub(super) fn key_bits(key: InFlightKey) -> u64 {
     slotmap::Key::data(&key).as_ffi()
 }
 
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -7,12 +7,14 @@
 mod catalog;
 mod decide;
 mod fleet;
+mod identity;
 mod learn;
 mod locality;
 pub mod messages;
 mod pacing;
 mod place;
 pub mod settings;
+mod split;
 mod state;
 #[cfg(test)]
 mod tests;
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -10,6 +10,7 @@
     super::{
         Settings, catalog,
         decide::{self, RequestHead},
+        identity,
         pacing::RegionPacer,
         state::{Effect, State},
     },
@@ -79,7 +80,7 @@
             zones: Arc::new(self.zones.clone()),
         };
         if catalog::apply(&mut self.state, &followed, self.now) {
-            decide::apply_identities(&mut self.state, 7, self.now);
+            identity::refuse_changed(&mut self.state, 7, self.now);
         }
     }
 
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -4,7 +4,7 @@
     super::{
         catalog,
         decide::{self, QUEUE_SCAN_MS, RequestHead},
-        learn,
+        identity, learn,
         messages::{Message, Request},
         settings::Settings,
         state::{Effect, State},
@@ -109,7 +109,7 @@
                 Wait::Message(Message::CatalogUpdate(followed)) => {
                     let now = self.context.clock.now();
                     if catalog::apply(&mut self.state, &followed, now) {
-                        decide::apply_identities(&mut self.state, rand::random(), now);
+                        identity::refuse_changed(&mut self.state, rand::random(), now);
                     }
                     self.record_catalog(&followed.catalog);
                 }
