--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -103,6 +103,8 @@
     latency_us: f64,
     /// The same for a load drawn from its distribution.
     drawn_us: f64,
+    /// Microseconds of waiting at the upstream for that load.
+    drawn_wait_us: f64,
     /// Expected microseconds of waiting at the upstream.
     wait_us: f64,
     /// Whether the key's data is assumed to be cached there.
@@ -240,6 +242,7 @@
         expected: upstream.expect(peers, now, state.settings.load_decay_ms),
         latency_us: 0.0,
         drawn_us: 0.0,
+        drawn_wait_us: 0.0,
         wait_us: 0.0,
         cached: false,
     };
@@ -322,8 +325,9 @@
 
 /// Selects the upstream for `in_flight`, if it is worth sending now: the nearest whose response is expected in
 /// time, otherwise the first without a wait. A request that misses its objective anyway must not evict
-/// cached data elsewhere. Among several in time at one distance, the fastest is selected for loads drawn from their
-/// distributions: entry VMs that are unsure whether the first one is full do not all change to the second.
+/// cached data elsewhere. Among several in time at one distance, it is the first without a wait, otherwise the
+/// fastest, for loads drawn from their distributions: entry VMs that are unsure whether the first one is full do not
+/// all change to the second.
 pub(super) fn choose(
     state: &State,
     pool: &Pool,
@@ -368,9 +372,8 @@
             let expected = candidate.expected;
             let drawn = expected.load
                 + expected.variance.sqrt() * balance::deviation(random, u64::from(rank > 0));
-            let ((latency_us, wait_us), (drawn_us, _)) = (latency(expected.load), latency(drawn));
-            (candidate.latency_us, candidate.wait_us) = (latency_us, wait_us);
-            candidate.drawn_us = drawn_us;
+            (candidate.latency_us, candidate.wait_us) = latency(expected.load);
+            (candidate.drawn_us, candidate.drawn_wait_us) = latency(drawn);
             let is_faster = |other: &Option<(Candidate, usize)>| {
                 other.is_none_or(|(other, _)| candidate.drawn_us < other.drawn_us)
             };
@@ -378,7 +381,10 @@
             let keeps_share = must_leave
                 && distance == 2
                 && candidate.latency_us <= MAX_REMOTE_LATENESS * objective_us;
-            if (keeps_share || candidate.latency_us <= objective_us) && is_faster(&best) {
+            // A key that alternates between its upstreams takes a place in the caches of both.
+            let is_first_free = best.is_some_and(|(other, _)| other.drawn_wait_us <= 0.0);
+            let in_time = keeps_share || candidate.latency_us <= objective_us;
+            if in_time && !is_first_free && is_faster(&best) {
                 best = Some((*candidate, rank));
             }
             if candidate.wait_us <= 0.0 && fallback.is_none() {
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -5,11 +5,13 @@
 mod shares;
 mod slow_start;
 mod tenants;
+mod thread;
 
 use {
     super::{
         Settings, catalog,
         decide::{self, RequestHead},
+        identity,
         pacing::RegionPacer,
         state::{Effect, State},
     },
@@ -79,7 +81,7 @@
             zones: Arc::new(self.zones.clone()),
         };
         if catalog::apply(&mut self.state, &followed, self.now) {
-            decide::apply_identities(&mut self.state, 7, self.now);
+            identity::refuse_changed(&mut self.state, 7, self.now);
         }
     }
 
