Add the decisions of token leases for limits of the whole fleet

Cause: nothing divides a tenant's limit among entry VMs; equal parts would refuse tenants that send less than one request in 5 s through most entry VMs. Change: src/shares has the messages, the leader's buckets and leases (grant) and an entry VM's tokens (hold), without I/O. A call states all that an entry VM has: its outstanding tokens are those that it names and those that the answer grants, so lost, repeated and reordered calls need no repair.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,9 @@
 pub mod steer;
 pub mod tenants;
 
+// Duties of entry VMs and control VMs together.
+pub mod shares;
+
 // Duties of a control VM.
 pub mod agree;
 pub mod catalog;
--- /dev/null
+++ b/src/shares/mod.rs
@@ -0,0 +1,18 @@
+//! Shares: limits of tenants for the whole fleet, divided among the entry VMs by leased tokens.
+//!
+//! The leader of the control VMs has a bucket of tokens for each tenant with a limit and grants them to entry VMs;
+//! a token permits one request. See `docs/design/shares.md`.
+
+pub mod grant;
+pub mod hold;
+pub mod messages;
+pub mod settings;
+#[cfg(test)]
+mod tests;
+
+pub use {
+    grant::{Grants, Limit},
+    hold::{Hold, Taken, Token},
+    messages::{LeaseRequest, LeaseResponse},
+    settings::Settings,
+};
