Lease tokens on control VMs, and call the leader from entry VMs

Cause: the decisions of token leases had no duty that owns their state and no way over the network. Change: a duty of control VMs (shares) owns the buckets, with a bounded ring, and grants only while it leads; it begins anew when it did not lead at its last look or was suspended for a second. The method shares.lease carries calls in postcard. A duty of entry VMs makes the calls; the catalogue's view names the leader. The oracle spends more: requests pause and burst, and the latest messages mostly arrive first. Cases that random orders seldom reach have tests of their own (new leaders, adopted tokens, expiry, new incarnations, counts that begin anew). The test of both duties over a connection failed first: a leader that saw itself elected took its own tenure for a short former one and filled nothing for 2.5 s. Steer does not use the tokens yet.

--- a/src/catalog/follow.rs
+++ b/src/catalog/follow.rs
@@ -44,6 +44,8 @@
     pub catalog: Arc<Catalog>,
     /// All control VMs.
     pub control: Arc<Vec<ControlVm>>,
+    /// Peer listener of their leader, as far as known.
+    pub leader: Option<SocketAddr>,
     /// Number of ready entry VMs in each availability zone, by zone name.
     pub zones: Arc<Vec<(String, u32)>>,
 }
@@ -301,6 +303,7 @@
         (self.publish)(&CatalogView {
             catalog,
             control: Arc::new(received.standing.control.clone()),
+            leader: received.standing.leader,
             zones: Arc::new(received.standing.zones.clone()),
         });
     }
--- a/src/catalog/table.rs
+++ b/src/catalog/table.rs
@@ -159,6 +159,18 @@
         self.floor
     }
 
+    /// Whether rows may have changed after revision `since`.
+    ///
+    /// ```
+    /// let mut table = siskinstep::catalog::Table::default();
+    /// table.put("a", 1, 3);
+    /// assert!(table.has_changed(2) && !table.has_changed(3));
+    /// ```
+    #[must_use]
+    pub fn has_changed(&self, since: u64) -> bool {
+        self.floor > since || self.revisions(since).next().is_some()
+    }
+
     /// Revisions of the changes after revision `since`, in no order.
     pub(super) fn revisions(&self, since: u64) -> impl Iterator<Item = u64> {
         let rows = self.rows.iter().map(|row| row.revision);
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -5,6 +5,7 @@
         agree::{self, MemberConfig},
         edge::LOOPBACK,
         settings::{section::Section, vm::Vm},
+        shares,
     },
     std::net::SocketAddr,
 };
@@ -57,6 +58,8 @@
     pub agree: agree::Settings,
     /// Time without a report after which a self-reporting upstream is removed, in milliseconds.
     pub silent_ms: u64,
+    /// Excess over the limits of tenants that is allowed.
+    pub shares: shares::Settings,
     /// Name and addresses by which the other control VMs identify and reach this one, for a VM that
     /// need not be in `agree.members`.
     pub local_member: Option<MemberConfig>,
@@ -72,6 +75,7 @@
             listeners: Listeners::default(),
             agree: agree::Settings::default(),
             silent_ms: SILENT_MS,
+            shares: shares::Settings::default(),
             local_member: None,
         }
     }
@@ -109,6 +113,7 @@
             listeners: section.section("listeners", Listeners::read),
             agree,
             silent_ms,
+            shares: shares::Settings::default(),
             local_member: None,
         }
     }
--- a/src/control/wiring.rs
+++ b/src/control/wiring.rs
@@ -12,7 +12,7 @@
         observe::{Event, report},
         operator, poison,
         policy::Policy,
-        ring,
+        ring, shares,
         spread::{self, Fleet, Source},
         storage::{self, Folder, HardState, Recovered, StorageError},
     },
@@ -149,6 +149,7 @@
         let (mirror_stop, mirror_stopped) = oneshot::channel();
         let inputs = (mirror_stopped, handover_receiver);
         threads.extend(start_helpers(settings, &context, secret, &source, inputs)?);
+        threads.push(start_shares(settings, &context, &source, &mut module)?);
         handover::serve::register(&mut module, agree.clone())?;
         poison::register_orders(&mut module, &handover)?;
         catalog::serve::register(&mut module, source)?;
@@ -344,6 +345,26 @@
     ])
 }
 
+/// Starts the thread that leases tokens to entry VMs, and adds its method.
+fn start_shares(
+    settings: &Settings,
+    context: &Context,
+    source: &catalog::serve::Source,
+    module: &mut RpcModule<()>,
+) -> Result<JoinHandle<()>, StartError> {
+    let (sender, receiver) = ring::bounded(settings.vm.ring);
+    shares::serve::register(module, sender)?;
+    let local = settings.local_member().peers;
+    let thread = shares::serve::spawn(
+        context.clone(),
+        settings.shares,
+        local,
+        source.clone(),
+        receiver,
+    );
+    thread.context(ThreadSnafu { name: "shares" })
+}
+
 /// Opens and recovers the data folder. Without one, state is lost when the process exits.
 fn open_folder(path: &str) -> Result<(Option<Folder>, Recovered), StartError> {
     let new_disk = DiskId(rand::random::<u64>() | 1);
--- a/src/shares/mod.rs
+++ b/src/shares/mod.rs
@@ -3,12 +3,15 @@
 //! The leader of the control VMs has a bucket of tokens for each tenant with a limit and grants them to entry VMs;
 //! a token permits one request. See `docs/design/shares.md`.
 
+pub mod encode;
 pub mod grant;
 pub mod hold;
 pub mod messages;
+pub mod serve;
 pub mod settings;
 #[cfg(test)]
 mod tests;
+pub mod thread;
 
 pub use {
     grant::{Grants, Limit},
--- a/src/shares/tests/mod.rs
+++ b/src/shares/tests/mod.rs
@@ -1,15 +1,18 @@
 //! Tests of the decisions.
 
+mod calls;
 mod flow;
 mod windows;
 
 use {
     super::{
-        Limit,
+        Hold, Limit, Taken,
         grant::{self, Grants, Start},
-        messages::{LeaseRequest, RequestRow, ResponseRow},
+        messages::{LeaseRequest, LeaseResponse, RequestRow, ResponseRow},
+        serve::Tenures,
     },
-    crate::clock::Micros,
+    crate::{clock::Micros, keys::TenantKey},
+    std::{net::SocketAddr, sync::Arc},
 };
 
 fn row(spent: u64, held: u32, wanted: u32) -> RequestRow {
@@ -102,3 +105,129 @@
     let request = call("one", 1, row(0, 0, 500));
     assert!(leased(&mut grants, &request, now).granted <= 5);
 }
+
+/// Guards against tokens of a former leader that are spent beside those of a new one that fills its buckets: together
+/// they must not exceed the capacity.
+#[test]
+fn a_new_leader_leaves_room_for_the_tokens_of_the_former() {
+    let limit = Limit {
+        rate: 100_000,
+        burst: 0,
+    };
+    let began = Micros::from_millis(60_000);
+    // A capacity of 35 tokens: the former leader has leased 17 at most.
+    for (start, ms, most) in [
+        (Start::Settled, 2_499, 17),
+        (Start::Unsettled, 2_499, 0),
+        (Start::Unsettled, 2_511, 1),
+    ] {
+        let mut grants = Grants::new(super::Settings::default(), start, began);
+        grant::set_limits(&mut grants, [("a", limit)], began);
+        let mut total = 0;
+        for sequence in 1..=20 {
+            // It spends all tokens at once.
+            let request = call("one", sequence, row(total, 0, 35));
+            let answer = leased(&mut grants, &request, began.plus_millis(ms));
+            total += u64::from(answer.granted);
+        }
+        assert_eq!(total, most, "{start:?} after {ms} ms");
+    }
+}
+
+/// Guards against tokens that a new leader takes for its own: those of a former leader that an entry VM returns may
+/// have been written off, so they must not add to the level.
+#[test]
+fn returned_tokens_of_a_former_leader_are_gone() {
+    let began = Micros::from_millis(60_000);
+    let mut grants = Grants::new(super::Settings::default(), Start::Settled, began);
+    let limit = Limit {
+        rate: 1,
+        burst: 100_000,
+    };
+    grant::set_limits(&mut grants, [("a", limit)], began);
+    for (sequence, held) in [(1, 9), (2, 9), (3, 0)] {
+        let request = call("one", sequence, row(0, held, 0));
+        leased(&mut grants, &request, began.plus_millis(sequence));
+    }
+    let request = call("two", 1, row(0, 0, 9));
+    assert_eq!(
+        leased(&mut grants, &request, began.plus_millis(9)).granted,
+        0
+    );
+}
+
+/// Guards against tokens that stay leased to a process that has ended, so that the next one is denied.
+#[test]
+fn tokens_of_a_former_incarnation_are_written_off() {
+    let (mut grants, now) = filled(1_000);
+    for sequence in 1..=5 {
+        let held = u32::try_from(sequence - 1).unwrap();
+        leased(&mut grants, &call("one", sequence, row(0, held, 1)), now);
+    }
+    assert_eq!(grants.leased(), 5);
+    let mut next = call("one", 1, row(0, 0, 1));
+    next.incarnation = 2;
+    assert_eq!(leased(&mut grants, &next, now).granted, 1);
+    assert_eq!(grants.leased(), 1);
+}
+
+/// Guards against tokens that an entry VM still uses after the leader has written them off, and against answers that
+/// arrive after the next call.
+#[test]
+fn tokens_expire_and_late_answers_are_dropped() {
+    let mut keys = slotmap::SlotMap::with_key();
+    let key: TenantKey = keys.insert(());
+    let name: Arc<str> = "a".into();
+    let at = |ms: u64| Micros::from_millis(60_000 + ms);
+    for (answered_ms, taken_ms, is_served) in
+        [(499, 1_999, true), (500, 600, false), (499, 2_000, false)]
+    {
+        let mut hold = Hold::new("one", 1);
+        assert_eq!(hold.take(key, &name, at(0)), Taken::Wait);
+        let request = hold.next_call(at(0)).unwrap();
+        assert!(hold.next_call(at(499)).is_none());
+        let response = LeaseResponse {
+            sequence: request.sequence,
+            rows: vec![ResponseRow {
+                name: "a".to_owned(),
+                granted: 1,
+                retry_ms: 0,
+            }],
+        };
+        hold.answered(&response, at(answered_ms));
+        let token = hold.take_waiting(key, at(taken_ms));
+        assert_eq!(token.is_some(), is_served, "{answered_ms} {taken_ms}");
+    }
+}
+
+/// Guards against an entry VM that counts spent tokens anew and so appears to return those that it has spent.
+#[test]
+fn a_new_count_of_spent_tokens_is_larger() {
+    let mut keys = slotmap::SlotMap::with_key();
+    let key: TenantKey = keys.insert(());
+    let name: Arc<str> = "a".into();
+    let mut hold = Hold::new("one", 1);
+    let (mut grants, now) = filled(100_000);
+    hold.take(key, &name, now);
+    let request = hold.next_call(now).unwrap();
+    hold.answered(&grant::lease(&mut grants, &request, now).unwrap(), now);
+    assert!(hold.take_waiting(key, now).is_some());
+    hold.remove(key);
+    hold.take(key, &name, now);
+    let again = hold.next_call(now).unwrap();
+    assert!(again.rows[0].spent > request.rows[0].spent);
+}
+
+/// Guards against a leader that takes quick changes of leaders for one, whose tokens may all be in use.
+#[test]
+fn a_leader_after_a_short_tenure_is_unsettled() {
+    let [one, two] = [1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let at = |ms: u64| Micros::from_millis(60_000 + ms);
+    let mut tenures = Tenures::default();
+    tenures.observe(Some(one), at(0));
+    tenures.observe(None, at(2_400));
+    assert_eq!(tenures.begin(two, at(2_600)), Start::Settled);
+    tenures.observe(Some(two), at(2_700));
+    tenures.observe(Some(one), at(5_000));
+    assert_eq!(tenures.begin(two, at(5_100)), Start::Unsettled);
+}
--- a/src/shares/tests/windows.rs
+++ b/src/shares/tests/windows.rs
@@ -17,7 +17,7 @@
 };
 
 const VMS: usize = 5;
-const STEPS: usize = 600;
+const STEPS: usize = 1_000;
 const HIGH: Limit = Limit {
     rate: 20_000,
     burst: 6_000,
@@ -41,6 +41,8 @@
     answers: Vec<(usize, LeaseResponse)>,
     key: TenantKey,
     limit: Limit,
+    /// Whether requests arrive; in pauses the bucket fills.
+    is_busy: bool,
     /// Entry VM, time and token of each request.
     spent: Vec<(usize, Micros, Token)>,
 }
@@ -72,7 +74,8 @@
         while let Some(token) = hold.take_waiting(self.key, self.now) {
             self.spent.push((vm, self.now, token));
         }
-        for _ in 0..self.rng.random_range(0..8) {
+        let most = if self.is_busy { 8 } else { 0 };
+        for _ in 0..self.rng.random_range(0..=most) {
             if let Taken::Token(token) = hold.take(self.key, &name, self.now) {
                 self.spent.push((vm, self.now, token));
             }
@@ -93,12 +96,21 @@
         }
     }
 
+    /// Mostly the latest of `count` messages, as most of them arrive in time.
+    fn choose(&mut self, count: usize) -> usize {
+        if self.rng.random_ratio(3, 4) {
+            count - 1
+        } else {
+            self.rng.random_range(0..count)
+        }
+    }
+
     /// Delivers any of the calls, in any order; some are lost or remain and arrive again.
     fn call(&mut self) {
         if self.calls.is_empty() {
             return;
         }
-        let at = self.rng.random_range(0..self.calls.len());
+        let at = self.choose(self.calls.len());
         let (vm, request) = self.calls[at].clone();
         if !self.rng.random_ratio(1, 10) {
             self.calls.swap_remove(at);
@@ -114,7 +126,7 @@
         if self.answers.is_empty() {
             return;
         }
-        let at = self.rng.random_range(0..self.answers.len());
+        let at = self.choose(self.answers.len());
         let (vm, answer) = self.answers[at].clone();
         if !self.rng.random_ratio(1, 10) {
             self.answers.swap_remove(at);
@@ -125,20 +137,21 @@
     }
 
     fn step(&mut self) {
-        let pause_ms = if self.rng.random_ratio(1, 60) {
-            3_000
-        } else {
-            60
+        let pause_ms = match self.rng.random_range(0..200) {
+            0 => 3_000,
+            1..6 => 400,
+            _ => 12,
         };
         self.now = Micros(self.now.0 + self.rng.random_range(0..pause_ms * 1_000));
         let vm = self.rng.random_range(0..VMS);
         match self.rng.random_range(0..400) {
             0..2 => self.lead(),
-            2..6 => {
+            2..5 => self.is_busy = !self.is_busy,
+            5..7 => {
                 let incarnation = self.now.0;
                 self.holds[vm] = Hold::new(&format!("vm-{vm}"), incarnation);
             }
-            6..10 => {
+            7..10 => {
                 let pause_ms = self.rng.random_range(0..4_000);
                 self.suspended_until[vm] = self.now.plus_millis(pause_ms);
             }
@@ -180,6 +193,7 @@
         answers: Vec::new(),
         key: keys.insert(()),
         limit: HIGH,
+        is_busy: true,
         spent: Vec::new(),
     };
     world.limits(HIGH);
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -73,6 +73,7 @@
         let followed = CatalogView {
             catalog: Arc::new(self.catalog.clone()),
             control: Arc::default(),
+            leader: None,
             zones: Arc::new(self.zones.clone()),
         };
         catalog::apply(&mut self.state, &followed, self.now);
