Test the interval of calls for tokens

Cause: in a trial with a fault put in, calls every 2 ms in place of 400 ms failed no test. Change: a test of the intervals after an answer and after a failed call.

--- a/src/shares/tests/mod.rs
+++ b/src/shares/tests/mod.rs
@@ -231,3 +231,28 @@
     tenures.observe(Some(one), at(5_000));
     assert_eq!(tenures.begin(two, at(5_100)), Start::Unsettled);
 }
+
+/// Guards against calls in a loop: one that nobody waits for is made 400 ms after the last, and none within 50 ms after
+/// a failed one.
+#[test]
+fn calls_are_spaced() {
+    let mut keys = slotmap::SlotMap::with_key();
+    let key: TenantKey = keys.insert(());
+    let name: Arc<str> = "a".into();
+    let at = |ms: u64| Micros::from_millis(60_000 + ms);
+    let mut hold = Hold::new("one", 1);
+    let (mut grants, _) = filled(100_000);
+    hold.take(key, &name, at(0));
+    hold.take(key, &name, at(0));
+    let request = hold.next_call(at(0)).unwrap();
+    let response = grant::lease(&mut grants, &request, at(20)).unwrap();
+    hold.answered(&response, at(40));
+    assert!(hold.take_waiting(key, at(40)).is_some());
+    assert!(hold.take_waiting(key, at(40)).is_some());
+    assert!(hold.next_call(at(399)).is_none());
+    assert!(hold.next_call(at(400)).is_some());
+    hold.failed(at(600));
+    while let Taken::Token(_) = hold.take(key, &name, at(601)) {}
+    assert!(hold.next_call(at(649)).is_none());
+    assert!(hold.next_call(at(650)).is_some());
+}
