--- a/src/shares/tests/mod.rs
+++ b/src/shares/tests/mod.rs
@@ -232,6 +232,23 @@
     assert_eq!(tenures.begin(two, at(5_100)), Start::Unsettled);
 }
 
+/// Guards against spent tokens that return to the bucket: the count of an entry VM that forgot the tenant begins anew,
+/// so the leader does not know how many were spent.
+#[test]
+fn a_smaller_count_of_spent_tokens_returns_none() {
+    let (mut grants, now) = filled(1_000);
+    let first = call("one", 1, row(7, 0, 5));
+    assert_eq!(leased(&mut grants, &first, now).granted, 3);
+    leased(&mut grants, &call("one", 2, row(0, 0, 0)), now);
+    let mut total = 0;
+    for sequence in 1..=20 {
+        let request = call("two", sequence, row(total, 0, 9));
+        total += u64::from(leased(&mut grants, &request, now).granted);
+    }
+    // Ten were in the bucket.
+    assert_eq!(total, 7);
+}
+
 /// Guards against calls in a loop: one that nobody waits for is made 400 ms after the last, and none within 50 ms after
 /// a failed one.
 #[test]
