Read pipelined requests while the one before them runs

Cause: hyper reads once behind a request that runs, and then no more until it is answered. Callers give up on a VM that leaves an idempotent request unread for a second. hyper also does not notice that a caller has left once it has read a further request, so the running one went on. A connection that was closed with requests unread was reset, and its caller lost the rest of the last response. A half head that arrived while a request ran did not count as one, so a stop closed the connection within 20 ms.

Change: while a request runs, or its response is not taken, the observed stream reads ahead into a buffer of 32 KiB a connection and 4 MiB a listener. The end of the stream, seen there, ends the connection. A connection that was closed here reads and discards for up to 500 ms after it has ended sending. What arrives after a request is complete counts as a part of the next head.

Requests of a connection still run one after the other.

--- a/src/edge/listener.rs
+++ b/src/edge/listener.rs
@@ -2,10 +2,12 @@
 
 use {
     super::{
+        ahead::Ahead,
         exchange::{self, Incoming, Outgoing},
         held::Held,
         limits::Limits,
         progress::{ObservedStream, Progress},
+        requests::Requests,
         secret::{SECRET_HEADER, Secret},
     },
     crate::{
@@ -23,11 +25,12 @@
     snafu::{ResultExt, Snafu},
     std::{
         cell::Cell,
-        future::Future,
+        future::{Future, poll_fn},
         io::{self, ErrorKind},
         net::SocketAddr,
         pin::Pin,
         rc::Rc,
+        task::{Poll, ready},
         thread::JoinHandle,
         time::{Duration, Instant},
     },
@@ -51,6 +54,9 @@
 /// Maximum time that a shutdown leaves for the rest of a request's head.
 const HEAD_GRACE: Duration = Duration::from_secs(1);
 
+/// Time for which a connection that was closed here still reads what its peer sends.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Asynchronous function from a request to its response; must not block the thread.
 pub type Handler = Rc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Outgoing>>>>;
 
@@ -160,6 +166,8 @@
     handler: Handler,
     open: Cell<usize>,
     held: Held,
+    /// Bytes of requests that were read ahead.
+    ahead: Rc<Cell<usize>>,
 }
 
 fn serve(
@@ -181,6 +189,7 @@
         handler: make_handler(),
         open: Cell::new(0),
         held: Held::new(HELD_BYTES),
+        ahead: Rc::default(),
     });
     local.block_on(&runtime, async {
         accept_until_stopped(&shared, &socket, stopped).await;
@@ -257,51 +266,34 @@
     });
 }
 
-/// Requests of a connection.
-#[derive(Default)]
-struct Requests {
-    /// Requests that have no response yet.
-    active: Cell<usize>,
-    /// Bytes that had been received when a request was last accepted or answered.
-    handled: Cell<u64>,
-}
-
-impl Requests {
-    /// Accepts a request; returns whether it was received together with the one before it.
-    fn begin(&self, progress: &Progress) -> bool {
-        let received = progress.received.get();
-        self.active.set(self.active.get() + 1);
-        self.handled.replace(received) == received
-    }
-
-    fn end(&self, progress: &Progress) {
-        self.active.set(self.active.get() - 1);
-        self.handled.set(progress.received.get());
-    }
-
-    /// Whether a part of a request's head was received.
-    fn has_partial_head(&self, progress: &Progress) -> bool {
-        self.active.get() == 0 && self.handled.get() < progress.received.get()
+async fn serve_connection(shared: &Rc<Shared>, stream: TcpStream, stopped: watch::Receiver<bool>) {
+    let (stream, progress) = ObservedStream::new(stream, Ahead::new(Rc::clone(&shared.ahead)));
+    if serve_requests(shared, stream, &progress, stopped).await {
+        // Closing a socket with bytes unread resets the connection, and the peer loses the last response.
+        progress.end_sending();
+        let _ = time::timeout(LINGER, poll_fn(|cx| progress.poll_discard(cx))).await;
     }
 }
 
-async fn serve_connection(
+/// Serves the requests of a connection. Returns whether it was closed after a response or by its peer, and not
+/// while idle or stalled.
+async fn serve_requests(
     shared: &Rc<Shared>,
-    stream: TcpStream,
+    stream: ObservedStream,
+    progress: &Progress,
     mut stopped: watch::Receiver<bool>,
-) {
+) -> bool {
     let limits = shared.listener.limits;
-    let (stream, progress) = ObservedStream::new(stream);
     let requests = Requests::default();
     let service = service_fn(|request| {
-        let is_pipelined = requests.begin(&progress);
-        let (requests, progress) = (&requests, &progress);
+        let is_pipelined = requests.begin(progress);
+        let requests = &requests;
         async move {
             // hyper does not notice the end of a connection while a request waits behind another.
             if is_pipelined && progress.is_closed() {
                 return Err(io::Error::from(ErrorKind::ConnectionAborted));
             }
-            let response = respond(shared, request).await;
+            let response = respond(shared, request, || requests.run(progress)).await;
             requests.end(progress);
             Ok(response)
         }
@@ -320,23 +312,29 @@
         tokio::select! {
             biased;
             // A connection error affects only its peer, so it is not reported.
-            _ = connection.as_mut() => return,
+            _ = connection.as_mut() => return true,
             _ = stopped.changed(), if stop.is_none() => {
                 // The kernel may hold a request; the runtime reads it before this timer fires.
                 stop = Some(Stop::after(POLL_INTERVAL));
             }
+            is_open = read_ahead(&requests, progress) => {
+                // hyper does not notice this while requests wait behind the one that runs.
+                if !is_open {
+                    return true;
+                }
+            }
             () = time::sleep(until_close.min(STALL_CHECK_INTERVAL)) => {
-                if is_stalled(&progress, limits.write_ms) {
+                if is_stalled(progress, limits.write_ms) {
                     shared.context.metrics.count("connections_stalled", 1);
-                    return;
+                    return false;
                 }
                 let Some(stop) = &mut stop else { continue };
                 let is_idle = requests.active.get() == 0 && progress.stalled.get().is_none();
                 if stop.is_closing {
                     if is_idle {
-                        return;
+                        return false;
                     }
-                } else if stop.is_due(requests.has_partial_head(&progress)) {
+                } else if stop.is_due(requests.has_partial_head(progress)) {
                     stop.is_closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -345,6 +343,19 @@
     }
 }
 
+/// Reads ahead behind a request that runs; returns whether the connection is open.
+async fn read_ahead(requests: &Requests, progress: &Progress) -> bool {
+    poll_fn(|cx| {
+        // Polled after the connection, which may have accepted a request by now.
+        if !requests.may_read_ahead(progress) {
+            return Poll::Pending;
+        }
+        let length = ready!(progress.poll_read_ahead(cx));
+        Poll::Ready(length > 0)
+    })
+    .await
+}
+
 /// Shutdown of a connection.
 struct Stop {
     close_at: Instant,
@@ -393,9 +404,17 @@
     }
 }
 
-async fn respond(shared: &Rc<Shared>, request: Request<Body>) -> Response<Full<Bytes>> {
+/// Calls `run` when the request is complete.
+async fn respond(
+    shared: &Rc<Shared>,
+    request: Request<Body>,
+    run: impl FnOnce(),
+) -> Response<Full<Bytes>> {
     let outgoing = match read(shared, request).await {
-        Ok(incoming) => (shared.handler)(incoming).await,
+        Ok(incoming) => {
+            run();
+            (shared.handler)(incoming).await
+        }
         Err(refusal) => refusal,
     };
     // Keeps the caller from sending another request on a connection that is about to close.
--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the listener with malformed, oversized, incomplete and endless input.
 
 mod held;
+mod pipelining;
 mod stop;
 
 use {
--- a/src/edge/tests/stop.rs
+++ b/src/edge/tests/stop.rs
@@ -13,8 +13,8 @@
     },
 };
 
-const LIMIT: Duration = Duration::from_secs(20);
-const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+pub(super) const LIMIT: Duration = Duration::from_secs(20);
+pub(super) const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
 
 /// Guards against a planned stop that resets connections which the kernel has established, with requests that
 /// have arrived, and which the listener has not accepted yet.
@@ -97,7 +97,7 @@
     }
 }
 
-fn listen(
+pub(super) fn listen(
     context: &Context,
     make_handler: impl FnOnce() -> Handler + Send + 'static,
 ) -> ListenerHandle {
@@ -110,7 +110,7 @@
     spawn(listener, context.clone(), make_handler).unwrap()
 }
 
-fn connect(address: SocketAddr) -> TcpStream {
+pub(super) fn connect(address: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(LIMIT)).unwrap();
     stream.set_nodelay(true).unwrap();
@@ -131,7 +131,7 @@
 }
 
 /// Everything that the peer sends until it closes the connection, and whether it closes in order.
-fn rest(mut stream: TcpStream) -> (bool, String) {
+pub(super) fn rest(mut stream: TcpStream) -> (bool, String) {
     let mut bytes = Vec::new();
     let read = stream.read_to_end(&mut bytes);
     (read.is_ok(), String::from_utf8_lossy(&bytes).into_owned())
