Bound the request bodies in flight to one upstream

Cause: the slots of an upstream count requests, not bytes. One that reads slowly holds every body that it is sent, and crashes when they exceed its memory.

Change: steer counts the bytes of bodies in flight to each upstream from this VM (upstream_body_bytes, 8 MiB). An upstream may be sent a body if the sum stays within the bound, or if no other body is in flight there. Bodies without room go to the next upstream of their affinity key, or wait. A request that only its body holds back does not block those behind it: new ones, and in the scan of waiting requests, which tries at most 16 such requests and then only smaller bodies. A new incarnation starts at zero.

Not changed: the estimate of the wait, for refusals, counts held-back requests too, so that a request which lacks a slot is refused early while many wait for memory.

--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        bodies::{self, Scan},
         learn, place,
         state::{Basis, Effect, InFlight, State},
     },
@@ -79,6 +80,7 @@
         route,
         service: Arc::clone(&service),
         affinity: head.affinity.unwrap_or(head.random),
+        body_bytes: head.body_bytes,
         arrived: now,
         deadline,
         upstream: None,
@@ -139,7 +141,7 @@
 
 /// Sends, queues or refuses a request.
 fn place_or_enqueue(state: &mut State, key: InFlightKey, random: u64, now: Micros) {
-    if !has_waiting_ahead(state, key) && send(state, key, now) {
+    if !has_waiting_ahead(state, key, now) && send(state, key, now) {
         return;
     }
     match refusal_reason(state, key, now) {
@@ -149,12 +151,13 @@
 }
 
 /// Whether a request of the same or a better rank already waits for the same service.
-fn has_waiting_ahead(state: &State, key: InFlightKey) -> bool {
+fn has_waiting_ahead(state: &State, key: InFlightKey, now: Micros) -> bool {
     let Some(in_flight) = state.in_flight.get(key) else {
         return false;
     };
     let pool = state.pools.get(&in_flight.service);
     let first = pool.and_then(|pool| pool.waiting.first());
+    let first = first.filter(|first| !bodies::is_held_back(state, **first, now));
     let first = first.and_then(|first| state.in_flight.get(*first));
     first.is_some_and(|first| first.route.rank <= in_flight.route.rank)
 }
@@ -177,6 +180,7 @@
     };
     in_flight.upstream = Some((upstream, basis));
     in_flight.tried.push(upstream);
+    state.bodies.add(upstream, in_flight.body_bytes);
     state.effects.push(Effect::Send {
         in_flight: key,
         address: row.address,
@@ -300,6 +304,8 @@
         return;
     };
     let upstream = in_flight.upstream.take();
+    let sent_to = upstream.map(|(upstream, _)| upstream);
+    state.bodies.remove(sent_to, in_flight.body_bytes);
     let service = Arc::clone(&in_flight.service);
     let affinity_key = in_flight.route.affinity.then_some(in_flight.affinity);
     if let Some((upstream, basis)) = upstream {
@@ -331,8 +337,7 @@
         Ended::Failed { reason, ran, load } => {
             let refused = reason == Reason::UpstreamRefused;
             if refused && load.is_some_and(|load| load.running < load.slots) {
-                let refused_by = upstream.map(|(upstream, _)| upstream);
-                allow_same_upstream(state, key, refused_by);
+                allow_same_upstream(state, key, sent_to);
             }
             retry(state, key, reason, ran, random, now);
         }
@@ -417,7 +422,7 @@
         Some(pool) if !pool.waiting.is_empty() => std::mem::take(&mut pool.waiting),
         _ => return,
     };
-    let mut is_blocked = false;
+    let mut scan = Scan::default();
     waiting.retain(|key| {
         let Some(in_flight) = state.in_flight.get(*key) else {
             return false;
@@ -428,27 +433,25 @@
                 *key,
                 Reason::NoSlot,
                 Ran::No,
-                random ^ key_bits(*key),
+                random ^ slotmap::Key::data(key).as_ffi(),
                 now,
             );
             return false;
         }
-        if !is_blocked && send(state, *key, now) {
-            return false;
+        if !scan.may_try(in_flight.body_bytes) {
+            return true;
         }
-        // The first request without a free slot blocks those behind it, so that none of its rank overtakes it.
-        is_blocked = true;
-        true
+        let is_sent = send(state, *key, now);
+        if !is_sent {
+            scan.record_unsent(state, *key, now);
+        }
+        !is_sent
     });
     if let Some(pool) = state.pools.get_mut(service) {
         pool.waiting = waiting;
     }
 }
 
-fn key_bits(key: InFlightKey) -> u64 {
-    slotmap::Key::data(&key).as_ffi()
-}
-
 /// Advances pacing windows and local shares, and scans the waiting requests.
 pub(super) fn tick(state: &mut State, random: u64, now: Micros) {
     let mut names: Vec<Arc<str>> = Vec::new();
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -8,6 +8,7 @@
 
 use {
     super::{
+        bodies,
         catalog::ENTRY_MEMORY_MS,
         fleet::RecentMax,
         state::{Basis, DISTANCES, InFlight, MAX_PREFERRED, Pool, SlowStart, State, Upstream},
@@ -41,7 +42,11 @@
     now: Micros,
 ) -> bool {
     let is_tried = in_flight.tried.contains(&key) && in_flight.retry_same != Some(key);
-    if !upstream.eligible || now < upstream.backoff_until || is_tried {
+    if !upstream.eligible
+        || now < upstream.backoff_until
+        || is_tried
+        || !bodies::has_room(state, in_flight, key)
+    {
         return false;
     }
     let homes = &in_flight.route.homes;
--- a/src/steer/settings.rs
+++ b/src/steer/settings.rs
@@ -23,6 +23,8 @@
     pub max_backoff_ms: u64,
     /// Maximum number of waiting requests.
     pub max_waiting: usize,
+    /// Bytes of request bodies in flight to one upstream; a single larger body may go alone.
+    pub upstream_body_bytes: u64,
 }
 
 impl Default for Settings {
@@ -47,6 +49,8 @@
             max_backoff_ms: 5_000,
             // One second of a VM's share of the usual traffic.
             max_waiting: 512,
+            // Several bodies of the largest size that callers usually may send.
+            upstream_body_bytes: 8 << 20,
         }
     }
 }
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        bodies::Bodies,
         budget::{RetryBudget, SlackShare},
         fleet::RecentMax,
         locality::Locality,
@@ -165,6 +166,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
     pub(super) affinity: u64,
+    /// Size of the body.
+    pub(super) body_bytes: u64,
     pub(super) arrived: Micros,
     /// Time at which it times out.
     pub(super) deadline: Micros,
@@ -246,6 +249,8 @@
     /// Current weights of the smooth weighted round-robin, by route and service.
     pub(super) splits: Sorted<Arc<str>, Vec<i128>>,
     pub(super) in_flight: SlotMap<InFlightKey, InFlight>,
+    /// Bodies in flight to upstreams.
+    pub(super) bodies: Bodies,
     /// Part of the fixed retry slack that this VM may use.
     pub(super) slack_share: SlackShare,
     /// Time after a start from which the other entry VMs are known.
@@ -283,6 +288,7 @@
             pools: Sorted::default(),
             splits: Sorted::default(),
             in_flight: SlotMap::default(),
+            bodies: Bodies::default(),
             discovery_end: Micros(0),
             entry_vms: Sorted::default(),
             connect_us: [0.0; DISTANCES],
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -1,3 +1,4 @@
+mod bodies;
 mod budget;
 mod load;
 mod locality;
