Test the sum of what all connections read ahead

Cause: the bound of 4 MiB for a listener had no test. Change: a unit test fills 1,000 connections, takes from one and closes all.

--- a/src/edge/tests/pipelining.rs
+++ b/src/edge/tests/pipelining.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        super::{Handler, ListenerHandle, Outgoing},
+        super::{Handler, ListenerHandle, Outgoing, ahead::Ahead},
         stop::{LIMIT, connect, listen, rest},
     },
     crate::{context::Context, keys::ZoneKey},
     std::{
+        cell::Cell,
         fs,
         io::{Read, Write},
         net::TcpStream,
@@ -331,3 +332,24 @@
     reader.join().unwrap();
     assert_eq!(server.entered().len(), count);
 }
+
+/// Guards against callers on many connections that together fill this VM's memory, and against bytes that count for
+/// ever once they are taken or their connection is gone.
+#[test]
+fn what_all_connections_read_ahead_is_bounded() {
+    const MOST: usize = 4 << 20;
+    let total = Rc::new(Cell::new(0));
+    let mut open: Vec<Ahead> = (0..1_000).map(|_| Ahead::new(Rc::clone(&total))).collect();
+    for ahead in &mut open {
+        while ahead.room() > 0 {
+            ahead.add(&vec![7; ahead.room().min(5_000)]);
+        }
+    }
+    assert_eq!(total.get(), MOST);
+    assert_eq!(open[0].take(10_000).len(), 10_000);
+    assert_eq!(open[999].room(), 10_000);
+    assert_eq!(open[0].take(usize::MAX).len(), (32 << 10) - 10_000);
+    assert!(open[0].is_empty());
+    open.clear();
+    assert_eq!(total.get(), 0);
+}
