--- a/src/edge/tests/mod.rs
+++ b/src/edge/tests/mod.rs
@@ -1,7 +1,9 @@
 //! Tests of the listener with malformed, oversized, incomplete and endless input.
 
 mod held;
+mod pipelining;
 mod stop;
+mod untaken;
 
 use {
     super::{Handler, Limits, Listener, ListenerHandle, Outgoing, Secret, spawn},
@@ -37,6 +39,7 @@
         body_ms: 100,
         body_bytes: 8,
         write_ms: 100,
+        ..Limits::default()
     }
 }
 
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -8,6 +8,7 @@
 
 use {
     super::{
+        bodies,
         catalog::ENTRY_MEMORY_MS,
         fleet::RecentMax,
         state::{
@@ -48,7 +49,11 @@
     now: Micros,
 ) -> bool {
     let is_tried = in_flight.tried.contains(&key) && in_flight.retry_same != Some(key);
-    if !upstream.eligible || now < upstream.backoff_until || is_tried {
+    if !upstream.eligible
+        || now < upstream.backoff_until
+        || is_tried
+        || !bodies::has_room(state, in_flight, key)
+    {
         return false;
     }
     let region = state.regions.get(&*upstream.zone);
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -1,4 +1,5 @@
 mod balance;
+mod bodies;
 mod budget;
 mod load;
 mod locality;
--- a/src/steer/tests/thread.rs
+++ b/src/steer/tests/thread.rs
@@ -78,6 +78,7 @@
             catalog: Arc::new(self.catalog.clone()),
             control: Arc::default(),
             zones: Arc::default(),
+            leader: None,
         };
         let message = Message::CatalogUpdate(Box::new(view));
         self.ring.send(message).unwrap();
