Reject responses whose status is not 200 to 599

Cause: hyper accepts any three-digit status from 100 and skips empty lines before a status line, and neither courier nor relay checked the status of a final response. Statuses 600 to 999 reached callers, with the headers of a refusal they counted as not run, and their connections were reused; so were those of a response behind an empty line, and of one behind an unrequested interim response.

Change: such a response is a failed attempt that may have run, before any of its headers is read, and its connection is closed. The first byte of a response must begin a status line. A response behind an interim one is delivered (RFC 9110, 15.2), as tests of both paths require; its connection is closed after it.

Result: courier::tests::status and relay::tests::status, on raw sockets.

--- a/src/call.rs
+++ b/src/call.rs
@@ -85,7 +85,7 @@
     PeerUnreachable,
     /// The caller closed its connection before the response was sent.
     Cancelled,
-    /// The upstream's response carries the ID of another request.
+    /// The upstream's response carries the ID of another request, or its status is invalid.
     AnswerMismatch,
     /// This VM has not joined the fleet yet, or not rejoined after it was suspended.
     NotJoined,
@@ -225,10 +225,23 @@
     pub body: Bytes,
 }
 
+/// Whether a response may have this HTTP status. Statuses below 200 announce a response and are none themselves;
+/// those above 599 are not assigned to any class.
+///
+/// ```
+/// use siskinstep::call::is_valid_status;
+/// assert!(is_valid_status(200) && is_valid_status(599));
+/// assert!(!is_valid_status(100) && !is_valid_status(600));
+/// ```
+#[must_use]
+pub const fn is_valid_status(status: u16) -> bool {
+    200 <= status && status <= 599
+}
+
 /// An upstream's complete response.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
-    /// HTTP status, 100 to 599.
+    /// HTTP status, 200 to 599.
     pub status: u16,
     /// End-to-end headers of the response.
     pub headers: Vec<Header>,
--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -8,7 +8,7 @@
         settings::Settings,
     },
     crate::{
-        call::{Answer, Ran, Reason},
+        call::{Answer, Ran, Reason, is_valid_status},
         cancel,
         context::Context,
         edge::held::{BodyError, Held},
@@ -113,6 +113,10 @@
         }
     };
     let (parts, body) = response.into_parts();
+    // Nothing in such a response is reliable, a statement that the request did not run included.
+    if !is_valid_status(parts.status.as_u16()) {
+        return unknown(Reason::AnswerMismatch);
+    }
     let head = (resources.wire_format.decode)(&parts, &dispatch.payload);
     // On a connection that has served another request, a response without a name may be a late second
     // copy of that request's response, and the head may begin with a part of one.
@@ -155,7 +159,7 @@
         Meaning::NotRun => return failed(Reason::UpstreamRefused, Ran::No, head.load),
         Meaning::Answer | Meaning::Mismatch => {}
     }
-    if !head.has_proof || parts.status.is_informational() {
+    if !head.has_proof {
         return unknown(Reason::AnswerMismatch);
     }
     let status = parts.status.as_u16();
--- a/src/courier/tests/mod.rs
+++ b/src/courier/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod connections;
 mod copies;
+mod status;
 
 use {
     super::{Dispatch, Ended, Head, Meaning, Report, Settings, Target, WireFormat, spawn},
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -11,7 +11,7 @@
         splice::is_spliced,
     },
     crate::{
-        call::{Answer, Call, Ran, Reason},
+        call::{Answer, Call, Ran, Reason, is_valid_status},
         cancel,
         clock::Micros,
         context::Context,
@@ -228,8 +228,8 @@
     read(resources, response).await
 }
 
-/// Rejects a response that belongs to another request, that reports the request as not run, or
-/// whose body has no determinable end.
+/// Rejects a response that belongs to another request, that reports the request as not run, whose
+/// status is invalid, or whose body has no determinable end.
 fn check(
     name_check: &NameCheck,
     call: &mut Call,
@@ -245,7 +245,7 @@
     }
     let sized = response.body().size_hint().exact().is_some();
     let is_delimited = sized || headers.contains_key(TRANSFER_ENCODING);
-    if response.status().is_informational() || !is_delimited {
+    if !is_valid_status(response.status().as_u16()) || !is_delimited {
         return Err(unknown(Reason::AnswerCut));
     }
     Ok(())
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -12,12 +12,17 @@
             TrySendError,
             http1::{self, SendRequest},
         },
+        ext::on_informational,
     },
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
     std::{
         io,
         net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{net::TcpStream, time},
@@ -42,6 +47,9 @@
     stream: SharedStream,
     /// Hashed names of the requests that the peer rejected on it.
     rejected: Vec<u64>,
+    /// Whether the peer has sent an interim response. No request asks for one, so that its peer may also send more
+    /// than one response to a request.
+    has_interim: Arc<AtomicBool>,
     /// Whether a request was sent whose response has not been read completely.
     is_awaiting: bool,
 }
@@ -63,9 +71,14 @@
     /// The connection failed; the error returns the request if no byte of it was written.
     pub(crate) async fn try_send_request(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         self.is_awaiting = true;
+        self.stream.expect_head();
+        let has_interim = Arc::clone(&self.has_interim);
+        on_informational(&mut request, move |_| {
+            has_interim.store(true, Ordering::Relaxed);
+        });
         self.sender.try_send_request(request).await
     }
 
@@ -163,7 +176,7 @@
     }
 
     /// Returns a connection to the pool. Its last response must have been read completely. Closes it after
-    /// `MAX_REJECTIONS`, and the least recently used one if more than `max` are idle.
+    /// `MAX_REJECTIONS` or an interim response, and the least recently used one if more than `max` are idle.
     pub(crate) fn keep(&mut self, address: SocketAddr, connection: Connection, max: usize) {
         self.keep_named(address, connection, false, max);
     }
@@ -177,7 +190,8 @@
         max: usize,
     ) {
         connection.mark_complete();
-        if connection.rejected.len() >= MAX_REJECTIONS {
+        let has_interim = connection.has_interim.load(Ordering::Relaxed);
+        if has_interim || connection.rejected.len() >= MAX_REJECTIONS {
             return;
         }
         if self.idle.get(&address).is_none() {
@@ -249,6 +263,7 @@
         sender,
         stream,
         rejected: Vec::new(),
+        has_interim: Arc::default(),
         is_awaiting: false,
     })
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -18,12 +18,17 @@
     },
 };
 
+/// First byte of `HTTP/1.1`, with which each status line begins.
+const STATUS_LINE_START: u8 = b'H';
+
 /// A TCP stream; clones share the socket.
 #[derive(Clone, Debug)]
 pub(super) struct SharedStream {
     stream: Rc<TcpStream>,
     /// Whether the connection is reset when it is closed.
     resets: Rc<Cell<bool>>,
+    /// Whether the next byte from the peer begins a response.
+    awaits_head: Rc<Cell<bool>>,
 }
 
 impl SharedStream {
@@ -31,6 +36,7 @@
         Self {
             stream: Rc::new(stream),
             resets: Rc::default(),
+            awaits_head: Rc::default(),
         }
     }
 
@@ -42,6 +48,22 @@
         peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Requires the next byte from the peer to begin a status line. The HTTP parser skips empty lines before one.
+    pub(super) fn expect_head(&self) {
+        self.awaits_head.set(true);
+    }
+
+    /// Checks the first byte of a response.
+    fn check_head(&self, bytes: &[u8]) -> io::Result<()> {
+        let Some(first) = bytes.first() else {
+            return Ok(());
+        };
+        if self.awaits_head.take() && *first != STATUS_LINE_START {
+            return Err(ErrorKind::InvalidData.into());
+        }
+        Ok(())
+    }
+
     /// Makes the kernel reset the connection when it is closed, and discard bytes that the peer has not
     /// acknowledged.
     pub(super) fn reset_on_close(&self) {
@@ -71,11 +93,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let start = buf.filled().len();
         let read = poll_io(
             || self.stream.poll_read_ready(cx),
             || self.stream.try_read(buf.initialize_unfilled()),
         );
-        read.map_ok(|length| buf.advance(length))
+        let length = ready!(read)?;
+        buf.advance(length);
+        Poll::Ready(self.check_head(&buf.filled()[start..]))
     }
 }
 
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -3,6 +3,7 @@
 mod copies;
 mod end;
 mod pool;
+mod status;
 
 use {
     super::{Dispatch, Failure, Settings, spawn},
