Stop requests to an upstream that says that it leaves

Cause: the header by which an upstream announces its shutdown was not read. An entry VM went on sending until the control VMs' catalogue said so, and a late report of the same incarnation made it eligible again.

Change: the platform decodes the header into Head::is_leaving. The steer duty records the incarnation in backpressure::State, which makes its row ineligible at once and in each later catalogue, until a later incarnation is listed. The courier holds a fence that stops attempts which were dispatched before: they end as not run with the new reason upstream_held, which costs no retry budget and no back-off. A misdirected response (421) and one with an invalid status say nothing about the upstream. Departures of unlisted upstreams are kept for 10 minutes; those without an incarnation (0) only while they are listed.

Result: steer::tests::leaving, courier::tests::fence, backpressure::tests.

--- a/src/call.rs
+++ b/src/call.rs
@@ -89,11 +89,13 @@
     AnswerMismatch,
     /// This VM has not joined the fleet yet, or not rejoined after it was suspended.
     NotJoined,
+    /// The upstream has restricted further requests since it was selected; the request was not sent to it.
+    UpstreamHeld,
 }
 
 impl Reason {
     /// All reasons, in declaration order.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::RingFull,
         Self::Stopping,
         Self::UnknownKind,
@@ -119,6 +121,7 @@
         Self::Cancelled,
         Self::AnswerMismatch,
         Self::NotJoined,
+        Self::UpstreamHeld,
     ];
 
     /// Name used in responses and as a metric label.
@@ -154,6 +157,7 @@
             Self::Cancelled => "cancelled",
             Self::AnswerMismatch => "answer_mismatch",
             Self::NotJoined => "not_joined",
+            Self::UpstreamHeld => "upstream_held",
         }
     }
 }
--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -39,7 +39,8 @@
         | Reason::RetryBudget
         | Reason::PeerUnreachable
         | Reason::Cancelled
-        | Reason::NotJoined => 503,
+        | Reason::NotJoined
+        | Reason::UpstreamHeld => 503,
     }
 }
 
--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -8,6 +8,7 @@
         settings::Settings,
     },
     crate::{
+        backpressure::{Fence, Notice},
         call::{Answer, Ran, Reason, is_valid_status},
         cancel,
         context::Context,
@@ -37,6 +38,16 @@
     pub(super) pool: Rc<RefCell<Pool>>,
     pub(super) held: Held,
     pub(super) crashes: Crashes,
+    pub(super) fence: Rc<RefCell<Fence>>,
+}
+
+/// What an attempt finds out besides its outcome.
+#[derive(Default)]
+pub(super) struct Findings {
+    /// Microseconds spent on opening a connection.
+    pub(super) connect_us: Cell<Option<u64>>,
+    /// What the upstream said about further requests.
+    pub(super) notice: Cell<Notice>,
 }
 
 /// Outcome of an attempt, with the response to deliver.
@@ -55,17 +66,16 @@
 }
 
 /// Makes the attempt. A connection is reused only after a complete response, so that a late
-/// response cannot be delivered to another request, and never for a request that was rejected on it. `connect_us` receives the microseconds spent on
-/// opening a connection.
+/// response cannot be delivered to another request, and never for a request that was rejected on it.
 pub(super) async fn run(
     resources: &Resources,
     dispatch: &Dispatch,
-    connect_us: &Cell<Option<u64>>,
+    findings: &Findings,
 ) -> Outcome {
     let sent = Cell::new(false);
     let cancel = Some(dispatch.cancel.clone());
     let reason = tokio::select! {
-        outcome = attempt(resources, dispatch, &sent, connect_us) => return outcome,
+        outcome = attempt(resources, dispatch, &sent, findings) => return outcome,
         () = cancel::wait(cancel) => Reason::Cancelled,
         () = time::sleep(remaining(resources, dispatch)) => Reason::AnswerTimeout,
     };
@@ -85,12 +95,18 @@
     resources: &Resources,
     dispatch: &Dispatch,
     sent: &Cell<bool>,
-    connect_us: &Cell<Option<u64>>,
+    findings: &Findings,
 ) -> Outcome {
     let name = (resources.wire_format.name)(&dispatch.payload).map(xxh3_64);
+    let connect_us = &findings.connect_us;
     let Some((mut connection, reused)) = obtain(resources, dispatch, name, connect_us).await else {
         return not_run(Reason::ConnectFailed);
     };
+    // Responses to other requests may have arrived while the connection was being opened.
+    if let Some(notice) = resources.fence.borrow().check(dispatch.target.key) {
+        findings.notice.set(notice);
+        return not_run(Reason::UpstreamHeld);
+    }
     let remaining_ms =
         u64::try_from(remaining(resources, dispatch).as_millis()).unwrap_or(u64::MAX);
     if remaining_ms == 0 {
@@ -118,6 +134,7 @@
         return unknown(Reason::AnswerMismatch);
     }
     let head = (resources.wire_format.decode)(&parts, &dispatch.payload);
+    record_notice(resources, dispatch, &head, findings);
     // On a connection that has served another request, a response without a name may be a late second
     // copy of that request's response, and the head may begin with a part of one.
     let is_ambiguous =
@@ -140,6 +157,19 @@
     classify(&parts, head, body)
 }
 
+/// Records what the head of a response says about further requests. A misdirected one is of another upstream.
+fn record_notice(resources: &Resources, dispatch: &Dispatch, head: &Head, findings: &Findings) {
+    if head.meaning == Meaning::Misdirected {
+        return;
+    }
+    let notice = Notice {
+        is_leaving: head.is_leaving,
+    };
+    let mut fence = resources.fence.borrow_mut();
+    fence.record(dispatch.target.key, notice);
+    findings.notice.set(notice);
+}
+
 /// Outcome for a truncated or oversized body. A head that reports the request as not run remains
 /// valid without its body.
 fn body_failure(head: &Head, error: BodyError) -> Outcome {
--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
+        backpressure::Notice,
         call::{Answer, Payload, Ran, Reason},
         cancel::Cancel,
         clock::Micros,
-        keys::InFlightKey,
+        keys::{InFlightKey, UpstreamKey},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -22,6 +23,8 @@
     pub id: Arc<str>,
     /// Incarnation of the upstream, 0 if unknown.
     pub born: u64,
+    /// Key of the upstream.
+    pub key: UpstreamKey,
 }
 
 /// An attempt to dispatch.
@@ -100,6 +103,8 @@
     pub names_request: bool,
     /// Load that the upstream reports.
     pub load: Option<Load>,
+    /// Whether the upstream is shutting down and accepts no further requests.
+    pub is_leaving: bool,
     /// Milliseconds for which the upstream keeps an idle connection open, if it states them; zero
     /// if it closes the connection after this response.
     pub idle_ms: Option<u64>,
@@ -131,8 +136,12 @@
 pub struct Report {
     /// Key of the request, from the [`Dispatch`].
     pub in_flight: InFlightKey,
+    /// Destination of the attempt.
+    pub target: Target,
     /// Outcome of the attempt.
     pub ended: Ended,
+    /// What the upstream said about further requests.
+    pub notice: Notice,
     /// The response, if there is one to deliver.
     pub answer: Option<Answer>,
     /// Microseconds spent on opening a connection; `None` if an idle one was used.
--- a/src/courier/tests/mod.rs
+++ b/src/courier/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod connections;
 mod copies;
+mod fence;
 mod status;
 
 use {
@@ -10,7 +11,7 @@
         call::{Header, Payload, Ran, Reason},
         cancel::{self, Guard},
         context::Context,
-        keys::{InFlightKey, ZoneKey},
+        keys::{InFlightKey, UpstreamKey, ZoneKey},
         poison::{self, Monitor, Verdicts},
         ring::{self, Ring},
     },
@@ -69,6 +70,7 @@
             has_proof: parts.headers.get("unproven").is_none(),
             names_request: parts.headers.contains_key("id"),
             load: None,
+            is_leaving: parts.headers.contains_key("leaving"),
             idle_ms: None,
         }
     },
@@ -106,6 +108,8 @@
     reports: Receiver<Report>,
     poison: Ring<poison::Message>,
     context: Context,
+    /// Key of the upstream of the next requests.
+    upstream: UpstreamKey,
     _stop: oneshot::Sender<()>,
 }
 
@@ -133,6 +137,7 @@
             reports,
             poison,
             context,
+            upstream: UpstreamKey::default(),
             _stop: stop,
         }
     }
@@ -182,6 +187,7 @@
                 address,
                 id: "u-1".into(),
                 born: 5,
+                key: self.upstream,
             },
             until: self.context.clock.now().plus_millis(remaining_ms),
             payload: payload.into(),
--- a/src/courier/thread.rs
+++ b/src/courier/thread.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        attempt::{self, Resources},
+        attempt::{self, Findings, Resources},
         crashes::{self, Crashes},
         messages::{Dispatch, Report, WireFormat},
         settings::Settings,
@@ -11,13 +11,7 @@
         context::Context, duty, edge::held::Held, poison::Monitor, relay::pool::Pool,
         ring::AsyncReceiver,
     },
-    std::{
-        cell::{Cell, RefCell},
-        io,
-        rc::Rc,
-        thread::JoinHandle,
-        time::Duration,
-    },
+    std::{cell::RefCell, io, rc::Rc, thread::JoinHandle, time::Duration},
     tokio::{sync::oneshot, time},
 };
 
@@ -47,6 +41,7 @@
             held: Held::new(settings.held_bytes),
             pool: Rc::new(RefCell::new(Pool::default())),
             crashes: Crashes::new(monitor),
+            fence: Rc::default(),
         };
         duty::run_until(stop, run(resources, receiver, report))
     })
@@ -75,15 +70,17 @@
     let resources = resources.clone();
     tokio::task::spawn_local(async move {
         let started = resources.context.clock.now();
-        let connect_us = Cell::new(None);
-        let (ended, answer) = attempt::run(&resources, &dispatch, &connect_us).await;
+        let findings = Findings::default();
+        let (ended, answer) = attempt::run(&resources, &dispatch, &findings).await;
         let elapsed = resources.context.clock.now().since(started);
         crashes::record(&resources, &dispatch, ended);
         report(Report {
             in_flight: dispatch.in_flight,
+            target: dispatch.target,
             ended,
+            notice: findings.notice.get(),
             answer,
-            connect_us: connect_us.get(),
+            connect_us: findings.connect_us.get(),
             took_us: u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX),
         });
     });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 
 // Duties of an entry VM.
 pub mod announce;
+pub mod backpressure;
 pub mod beacon;
 pub mod callers;
 pub mod claims;
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -59,6 +59,7 @@
     PLACED = 1310 Info "Request sent to an upstream", "None; the line gives the reasons for the choice.";
     REFUSED = 1311 Warn "Request ended without a response from an upstream", "Look up the reason in `docs/limits.md`; find the request's other lines by its ID.";
     ATTEMPT_FAILED = 1312 Warn "Attempt at an upstream failed", "Check the upstream if this repeats.";
+    UPSTREAM_WITHDRAWN = 1321 Info "Upstream announced in a response that it leaves; this VM sends it no further requests", "None; a new incarnation is used again.";
     RING_FULL = 1401 Warn "Ring between two duties was full", "The VM is overloaded; add entry VMs.";
     LEADING = 2001 Info "This control VM became the leader", "None.";
     DEPOSED = 2002 Warn "This control VM is no longer the leader", "None if another leader is elected soon; otherwise check the control VMs and the network.";
--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -10,6 +10,7 @@
         state::{AverageLoad, DISTANCES, MAX_PREFERRED, Pool, Rate, ReportedLoad, State, Upstream},
     },
     crate::{
+        backpressure,
         beacon::state::DISTANT_EXPIRY_MS,
         catalog::{self, Service, follow::CatalogView},
         clock::Micros,
@@ -55,6 +56,8 @@
         state.ids.remove(&id);
         state.upstreams.remove(key);
     }
+    let is_listed = |id: &str| catalog.upstreams.get(id).is_some();
+    backpressure::forget(&mut state.pressure, is_listed, now);
     for row in catalog.upstreams.rows() {
         let zone = &row.value.zone;
         let evacuation = Evacuation {
@@ -142,7 +145,8 @@
     now: Micros,
 ) {
     let was_evacuated = evacuation.was_on;
-    let eligible = !row.leaving && !evacuation.is_on;
+    let has_left = backpressure::has_left(&state.pressure, id, row.born);
+    let eligible = !row.leaving && !evacuation.is_on && !has_left;
     let cold_ms = {
         let service = state.pools.get(row.service.as_str());
         let full_ms = service.map_or(0, |pool| pool.service.cold_ms);
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -179,6 +179,7 @@
     in_flight.tried.push(upstream);
     state.effects.push(Effect::Send {
         in_flight: key,
+        upstream,
         address: row.address,
         id: Arc::clone(&row.id),
         born: row.born,
@@ -382,7 +383,7 @@
     let is_safe = ran == Ran::No || in_flight.is_repeatable();
     let has_attempts_left = in_flight.possible_runs < in_flight.route.attempts.max(1)
         && in_flight.tried.len() < MAX_SENDS;
-    let reached_upstream = !matches!(reason, Reason::ConnectFailed);
+    let reached_upstream = !matches!(reason, Reason::ConnectFailed | Reason::UpstreamHeld);
     let ran = if in_flight.possible_runs > 0 {
         Ran::Unknown
     } else {
--- a/src/steer/learn.rs
+++ b/src/steer/learn.rs
@@ -13,8 +13,8 @@
 /// Weight of the newest attempt in a moving average.
 const EWMA_WEIGHT: f64 = 0.1;
 /// Failure rate above which error responses, time-outs and mismatched responses put an upstream in back-off.
-/// All other failures do so at any rate, except refusals by the upstream, cancelled attempts and expired
-/// deadlines, which never do.
+/// All other failures do so at any rate, except refusals by the upstream, attempts that were not sent since it
+/// restricted them, cancelled attempts and expired deadlines, which never do.
 const MAX_FAILURE_RATE: f64 = 0.5;
 /// Upper limit on the ratio to the average work time that one attempt adds to the slowness of its upstream.
 const MAX_SLOWNESS: f64 = 10.0;
@@ -100,7 +100,10 @@
                 }
                 upstream.record_load(load.unwrap_or(full), now);
             }
-            Reason::Cancelled | Reason::DeadlineExceeded | Reason::Poisoned => {}
+            Reason::Cancelled
+            | Reason::DeadlineExceeded
+            | Reason::Poisoned
+            | Reason::UpstreamHeld => {}
             Reason::AnswerTimeout | Reason::AnswerMismatch => {
                 upstream.failure_rate += EWMA_WEIGHT * (1.0 - upstream.failure_rate);
                 if upstream.failure_rate > MAX_FAILURE_RATE {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -12,6 +12,7 @@
 pub mod messages;
 mod pacing;
 mod place;
+mod pressure;
 pub mod settings;
 mod state;
 #[cfg(test)]
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -9,6 +9,7 @@
         settings::Settings,
     },
     crate::{
+        backpressure,
         call::{Reason, Refusal},
         catalog::{Route, Service},
         clock::Micros,
@@ -193,6 +194,7 @@
     /// Sends the request to an upstream.
     Send {
         in_flight: InFlightKey,
+        upstream: UpstreamKey,
         address: SocketAddr,
         id: Arc<str>,
         /// Incarnation of the upstream.
@@ -254,6 +256,8 @@
     pub(super) entry_vms: Sorted<String, RecentMax>,
     /// Moving average of the time to open a connection in microseconds, by distance.
     pub(super) connect_us: [f64; DISTANCES],
+    /// What the responses of upstreams said about further requests.
+    pub(super) pressure: backpressure::State,
     pub(super) effects: Vec<Effect>,
 }
 
@@ -286,6 +290,7 @@
             discovery_end: Micros(0),
             entry_vms: Sorted::default(),
             connect_us: [0.0; DISTANCES],
+            pressure: backpressure::State::default(),
             effects: Vec::new(),
         }
     }
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -1,4 +1,5 @@
 mod budget;
+mod leaving;
 mod load;
 mod locality;
 mod shares;
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -6,6 +6,7 @@
         decide::{self, QUEUE_SCAN_MS, RequestHead},
         learn,
         messages::{Message, Request},
+        pressure,
         settings::Settings,
         state::{Effect, State},
     },
@@ -211,6 +212,7 @@
             learn::record_connect_time(&mut self.state, done.in_flight, connect_us);
         }
         self.log_attempt(&done, now);
+        pressure::heed(&mut self.state, &done.target, done.notice, now);
         let random = rand::random();
         decide::finish_attempt(
             &mut self.state,
@@ -276,6 +278,7 @@
         match effect {
             Effect::Send {
                 in_flight,
+                upstream,
                 address,
                 id,
                 born,
@@ -314,7 +317,12 @@
                 );
                 let dispatch = Dispatch {
                     in_flight,
-                    target: Target { address, id, born },
+                    target: Target {
+                        address,
+                        id,
+                        born,
+                        key: upstream,
+                    },
                     until: deadline,
                     payload: Arc::clone(&pending.payload),
                     cancel: pending.cancel.clone(),
