Respect the period for which an upstream asks for no requests

Cause: the period in an upstream's 503 was not read. Requests kept going to an upstream that had asked for none.

Change: the platform decodes it into Head::rest (at most 60 s; invalid values are ignored, and logged as E1326). The courier's fence stops attempts until its end. backpressure::rest extends it at random by up to a quarter (250 ms to 4 s), then sends one probe, and after its response requests at intervals that halve from a quarter of the period (100 ms to 1 s) to 20 ms. A failed probe renews the rest. In placement, refusals and the retry delay of callers, it counts as no free slot.

--- a/src/backpressure/decide.rs
+++ b/src/backpressure/decide.rs
@@ -1,4 +1,4 @@
-//! Decisions about upstreams that restrict further requests.
+//! Decisions about upstreams that leave.
 
 use {
     super::state::{Leaving, State},
@@ -42,7 +42,7 @@
     leaving.is_some_and(|leaving| born <= leaving.born)
 }
 
-/// Forgets upstreams that the catalogue has not listed for `MEMORY_MS`. One that states no incarnation (0) is
+/// Forgets ended rest periods of unlisted upstreams, and departures of upstreams that the catalogue has not listed for `MEMORY_MS`. One that states no incarnation (0) is
 /// forgotten as soon as it is not listed: nothing else tells its next incarnation from this one.
 ///
 /// ```
@@ -60,4 +60,5 @@
         }
         leaving.born > 0 && now < leaving.listed.plus_millis(MEMORY_MS)
     });
+    state.unlisted.retain(|_, (_, rest)| now < rest.until);
 }
--- a/src/backpressure/mod.rs
+++ b/src/backpressure/mod.rs
@@ -1,4 +1,5 @@
-//! Whether to send requests to an upstream, by what its own responses say: that it leaves.
+//! Whether to send requests to an upstream, by what its own responses say: that it leaves, or that it asks for a
+//! rest period.
 //!
 //! The decisions are part of the steer duty, which owns a [`State`]. The courier duty owns a [`Fence`], which stops
 //! attempts that are already on their way to an upstream.
@@ -6,6 +7,7 @@
 mod decide;
 mod fence;
 mod messages;
+mod rest;
 mod state;
 #[cfg(test)]
 mod tests;
@@ -13,6 +15,7 @@
 pub use {
     decide::{forget, has_left, record_leaving},
     fence::Fence,
-    messages::Notice,
+    messages::{Change, Notice},
+    rest::{free_at, may_send, record_end, record_rest, record_sent, set_listed, set_unlisted},
     state::State,
 };
--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -86,6 +86,11 @@
     }
 }
 
+/// Whole milliseconds of a duration.
+fn as_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Time until the deadline of the attempt.
 fn remaining(resources: &Resources, dispatch: &Dispatch) -> Duration {
     dispatch.until.since(resources.context.clock.now())
@@ -103,12 +108,12 @@
         return not_run(Reason::ConnectFailed);
     };
     // Responses to other requests may have arrived while the connection was being opened.
-    if let Some(notice) = resources.fence.borrow().check(dispatch.target.key) {
+    let now = resources.context.clock.now();
+    if let Some(notice) = resources.fence.borrow().check(dispatch.target.key, now) {
         findings.notice.set(notice);
         return not_run(Reason::UpstreamHeld);
     }
-    let remaining_ms =
-        u64::try_from(remaining(resources, dispatch).as_millis()).unwrap_or(u64::MAX);
+    let remaining_ms = as_millis(remaining(resources, dispatch));
     if remaining_ms == 0 {
         return not_run(Reason::DeadlineExceeded);
     }
@@ -162,8 +167,10 @@
     if head.meaning == Meaning::Misdirected {
         return;
     }
+    let now = resources.context.clock.now();
     let notice = Notice {
         is_leaving: head.is_leaving,
+        rest_until: head.rest.map(|rest| now.plus_millis(as_millis(rest))),
     };
     let mut fence = resources.fence.borrow_mut();
     fence.record(dispatch.target.key, notice);
--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -11,7 +11,7 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, http::response::Parts},
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Destination of an attempt.
@@ -105,6 +105,8 @@
     pub load: Option<Load>,
     /// Whether the upstream is shutting down and accepts no further requests.
     pub is_leaving: bool,
+    /// Time for which the upstream asks for no further requests.
+    pub rest: Option<Duration>,
     /// Milliseconds for which the upstream keeps an idle connection open, if it states them; zero
     /// if it closes the connection after this response.
     pub idle_ms: Option<u64>,
--- a/src/courier/tests/fence.rs
+++ b/src/courier/tests/fence.rs
@@ -23,7 +23,10 @@
     let _guard = world.send(address);
     let first = world.next_report();
     assert!(matches!(first.ended, Ended::Answered { status: 200, .. }));
-    let leaving = Notice { is_leaving: true };
+    let leaving = Notice {
+        is_leaving: true,
+        rest_until: None,
+    };
     assert_eq!(first.notice, leaving);
     let _guard = world.send(address);
     let second = world.next_report();
@@ -36,6 +39,32 @@
     assert!(matches!(world.attempt(address), Ended::Answered { .. }));
 }
 
+/// Guards against requests that were on their way to an upstream when it asked for a rest period, and reach it then.
+#[test]
+fn an_attempt_at_a_resting_upstream_is_not_sent() {
+    let resting =
+        "HTTP/1.1 503 Full\r\nid: 7\r\nrefused: 1\r\nrest: 400\r\ncontent-length: 0\r\n\r\n";
+    let mut keys: SlotMap<UpstreamKey, ()> = SlotMap::default();
+    let (address, received) = upstream(resting, false);
+    let mut world = World::new();
+    world.upstream = keys.insert(());
+    let _guard = world.send(address);
+    let until = world.next_report().notice.rest_until.unwrap();
+    received.recv().unwrap();
+    let mut held = 0;
+    loop {
+        let _guard = world.send(address);
+        let ended = world.next_report().ended;
+        if ended != failed(Reason::UpstreamHeld, Ran::No) {
+            assert_eq!(ended, failed(Reason::UpstreamRefused, Ran::No));
+            break;
+        }
+        assert!(received.try_recv().is_err());
+        held += 1;
+    }
+    assert!(held > 0 && world.context.clock.now() >= until);
+}
+
 /// Guards against an upstream that is taken out of use by the response of another one at its address.
 #[test]
 fn a_misdirected_response_says_nothing_about_the_intended_upstream() {
--- a/src/courier/tests/mod.rs
+++ b/src/courier/tests/mod.rs
@@ -16,7 +16,7 @@
         ring::{self, Ring},
     },
     http_body_util::Full,
-    hyper::{Request, header::HeaderValue},
+    hyper::{Request, header::HeaderValue, http::response::Parts},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpListener},
@@ -71,11 +71,18 @@
             names_request: parts.headers.contains_key("id"),
             load: None,
             is_leaving: parts.headers.contains_key("leaving"),
+            rest: rest_of(parts),
             idle_ms: None,
         }
     },
 };
 
+/// Time in the header `rest`, in milliseconds.
+fn rest_of(parts: &Parts) -> Option<Duration> {
+    let text = parts.headers.get("rest")?.to_str().ok()?;
+    Some(Duration::from_millis(text.parse().ok()?))
+}
+
 /// Starts an upstream that responds to each request with the same bytes, and then closes the
 /// connection if `closes`. Returns its address and the requests that it receives.
 fn upstream(bytes: &'static str, closes: bool) -> (SocketAddr, Receiver<String>) {
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -60,6 +60,11 @@
     REFUSED = 1311 Warn "Request ended without a response from an upstream", "Look up the reason in `docs/limits.md`; find the request's other lines by its ID.";
     ATTEMPT_FAILED = 1312 Warn "Attempt at an upstream failed", "Check the upstream if this repeats.";
     UPSTREAM_WITHDRAWN = 1321 Info "Upstream announced in a response that it leaves; this VM sends it no further requests", "None; a new incarnation is used again.";
+    UPSTREAM_RESTING = 1322 Info "Upstream asked for no requests until a given time, or did not accept the first one after it; this VM sends it none until then", "Add capacity if this repeats.";
+    UPSTREAM_PROBED = 1323 Info "One request tests whether an upstream accepts requests again", "None.";
+    UPSTREAM_RETURNING = 1324 Info "Upstream accepts requests again; the rate of requests to it rises", "None.";
+    UPSTREAM_RETURNED = 1325 Info "Upstream gets requests without a limit again", "None.";
+    REST_INVALID = 1326 Warn "Upstream asked for no requests in an invalid form or for too long a time; this was ignored or limited", "Fix the upstream; the line has the value.";
     RING_FULL = 1401 Warn "Ring between two duties was full", "The VM is overloaded; add entry VMs.";
     LEADING = 2001 Info "This control VM became the leader", "None.";
     DEPOSED = 2002 Warn "This control VM is no longer the leader", "None if another leader is elected soon; otherwise check the control VMs and the network.";
--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -54,7 +54,7 @@
         .collect();
     for (id, key) in removed {
         state.ids.remove(&id);
-        state.upstreams.remove(key);
+        remove_upstream(state, key);
     }
     let is_listed = |id: &str| catalog.upstreams.get(id).is_some();
     backpressure::forget(&mut state.pressure, is_listed, now);
@@ -129,6 +129,13 @@
     }
 }
 
+/// Removes an upstream from the arena.
+fn remove_upstream(state: &mut State, key: UpstreamKey) {
+    if let Some(row) = state.upstreams.remove(key) {
+        backpressure::set_unlisted(&mut state.pressure, key, &row.id, row.born);
+    }
+}
+
 /// State of the evacuation of an upstream's zone.
 #[derive(Clone, Copy, Debug)]
 struct Evacuation {
@@ -209,8 +216,9 @@
         upstream.extend_slow_start(remaining_ms, now);
     }
     if let Some(previous) = state.ids.get(&id).copied() {
-        state.upstreams.remove(previous);
+        remove_upstream(state, previous);
     }
     let key = state.upstreams.insert(upstream);
+    backpressure::set_listed(&mut state.pressure, key, &id, row.born);
     state.ids.insert(id, key);
 }
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        learn, place,
+        learn, place, pressure,
         state::{Basis, Effect, InFlight, State},
     },
     crate::{
@@ -170,6 +170,7 @@
         return false;
     };
     place::record_sent(state, upstream, now);
+    pressure::record_sent(state, upstream, key, now);
     let (Some(in_flight), Some(row)) =
         (state.in_flight.get_mut(key), state.upstreams.get(upstream))
     else {
@@ -200,6 +201,10 @@
     if !members.clone().any(|upstream| upstream.eligible) {
         return Some(Reason::NoUpstream);
     }
+    let rest_end = pressure::rest_end(state, pool, in_flight, now);
+    if rest_end.is_some_and(|end| end > in_flight.send_by) {
+        return Some(Reason::NoSlot);
+    }
     let waiting: usize = state
         .pools
         .rows()
@@ -260,7 +265,8 @@
 
 /// Milliseconds after which a caller should retry: the expected time until the waiting requests have been
 /// served, at least the work time of one request, clamped to `MIN_RETRY_MS..=MAX_RETRY_MS`. It is extended at
-/// random by up to as much again, so that callers do not all retry at the same time.
+/// random by up to as much again, so that callers do not all retry at the same time. If all upstreams rest, it begins
+/// when the first of them accepts requests again.
 fn retry_delay_ms(state: &State, in_flight: &InFlight, random: u64, now: Micros) -> u32 {
     let Some(pool) = state.pools.get(&in_flight.service) else {
         return 200;
@@ -273,7 +279,10 @@
     let base_ms = wait_ms
         .max(pool.cached_us / MILLI)
         .clamp(MIN_RETRY_MS, MAX_RETRY_MS);
-    jittered_ms(base_ms, random)
+    let rest_end = pressure::rest_end(state, pool, in_flight, now);
+    let rest_ms = rest_end.map_or(0, |end| end.since(now).as_millis());
+    let rest_ms = u32::try_from(rest_ms).unwrap_or(u32::MAX);
+    rest_ms.saturating_add(jittered_ms(base_ms, random))
 }
 
 /// A delay extended at random by up to as much again.
@@ -318,6 +327,7 @@
             row.record_key(key, now);
         }
         learn::record_outcome(state, upstream, ended, now);
+        pressure::record_end(state, upstream, key, ended, now);
         record_locality(state, key, basis, ended, now);
     }
     match ended {
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -12,7 +12,7 @@
         fleet::RecentMax,
         state::{Basis, DISTANCES, InFlight, MAX_PREFERRED, Pool, SlowStart, State, Upstream},
     },
-    crate::{clock::Micros, keys::UpstreamKey},
+    crate::{backpressure, clock::Micros, keys::UpstreamKey},
     std::sync::Arc,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
@@ -44,6 +44,11 @@
     if !upstream.eligible || now < upstream.backoff_until || is_tried {
         return false;
     }
+    backpressure::may_send(&state.pressure, key, now) && is_in_homes(state, in_flight, upstream)
+}
+
+/// Whether `upstream` is in a region that may serve `in_flight`.
+pub(super) fn is_in_homes(state: &State, in_flight: &InFlight, upstream: &Upstream) -> bool {
     let homes = &in_flight.route.homes;
     let region = state.regions.get(&*upstream.zone);
     homes.is_empty() || region.is_some_and(|region| homes.iter().any(|home| **home == **region))
--- a/src/steer/tests/leaving.rs
+++ b/src/steer/tests/leaving.rs
@@ -21,8 +21,11 @@
             born,
             key: UpstreamKey::default(),
         };
-        let notice = Notice { is_leaving: true };
-        pressure::heed(&mut self.state, &target, notice, self.now);
+        let notice = Notice {
+            is_leaving: true,
+            rest_until: None,
+        };
+        pressure::heed(&mut self.state, &target, notice, 7, self.now);
     }
 
     /// The control VMs list `a1` as ready, with the incarnation `born` and the report `seq`.
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -212,8 +212,8 @@
             learn::record_connect_time(&mut self.state, done.in_flight, connect_us);
         }
         self.log_attempt(&done, now);
-        pressure::heed(&mut self.state, &done.target, done.notice, now);
         let random = rand::random();
+        pressure::heed(&mut self.state, &done.target, done.notice, random, now);
         decide::finish_attempt(
             &mut self.state,
             done.in_flight,
