Count a request as not run if no byte of it reached its connection

Cause: the courier set its flag before it handed a request to the connection's task. A time-out or cancellation before the task wrote, and a first write that failed, counted as a possible run: callers got 502 or 504, and requests that may not be repeated were not retried.

Change: the stream records whether the kernel took a byte of the request. An attempt that ends seals the stream, so that nothing is written later, and counts as not run if nothing was written before. What the kernel took still counts as possibly run, also if the peer never acknowledged it: its acknowledgement may be lost.

Result: relay::tests::pool::a_request_that_is_given_up_is_not_sent_later, on a raw socket, for both orders. It uses the new interface and was not run on the code before.

--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -15,7 +15,7 @@
         edge::held::{BodyError, Held},
         relay::{
             encode::relayed_headers,
-            pool::{self, Connection, Pool},
+            pool::{self, Connection, Exposure, Pool},
             splice::is_spliced,
         },
     },
@@ -72,14 +72,15 @@
     dispatch: &Dispatch,
     findings: &Findings,
 ) -> Outcome {
-    let sent = Cell::new(false);
+    let sent = RefCell::new(None);
     let cancel = Some(dispatch.cancel.clone());
     let reason = tokio::select! {
         outcome = attempt(resources, dispatch, &sent, findings) => return outcome,
         () = cancel::wait(cancel) => Reason::Cancelled,
         () = time::sleep(remaining(resources, dispatch)) => Reason::AnswerTimeout,
     };
-    if sent.get() {
+    // The attempt, which owns the connection, has ended, so that nothing is written between this check and its end.
+    if sent.borrow().as_ref().is_some_and(Exposure::end) {
         unknown(reason)
     } else {
         not_run(reason)
@@ -99,7 +100,7 @@
 async fn attempt(
     resources: &Resources,
     dispatch: &Dispatch,
-    sent: &Cell<bool>,
+    sent: &RefCell<Option<Exposure>>,
     findings: &Findings,
 ) -> Outcome {
     let name = (resources.wire_format.name)(&dispatch.payload).map(xxh3_64);
@@ -121,15 +122,15 @@
     let Some(request) = request else {
         return not_run(Reason::Malformed);
     };
-    sent.set(true);
+    sent.replace(Some(connection.exposure()));
     let response = match connection.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
-            // hyper returns the request only if no byte of it was written.
-            if error.take_message().is_none() {
+            // hyper returns the request if it has not begun to write it, but not if the first write fails.
+            let is_returned = error.take_message().is_some();
+            if !is_returned && connection.exposure().end() {
                 return unknown(Reason::AnswerCut);
             }
-            sent.set(false);
             return not_run(Reason::ConnectFailed);
         }
     };
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -54,6 +54,19 @@
     is_awaiting: bool,
 }
 
+/// The bytes of one request on a connection.
+#[derive(Debug)]
+pub(crate) struct Exposure {
+    stream: SharedStream,
+}
+
+impl Exposure {
+    /// Ends the request: no further byte of it is written. Returns whether any was, so that the peer may run it.
+    pub(crate) fn end(&self) -> bool {
+        self.stream.seal()
+    }
+}
+
 impl Drop for Connection {
     /// Resets the connection of a request that is given up. A close in order would leave its bytes in the
     /// kernel, which delivers them when a partition ends: the peer would run the request long after that.
@@ -74,7 +87,7 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         self.is_awaiting = true;
-        self.stream.expect_head();
+        self.stream.begin_request();
         let has_interim = Arc::clone(&self.has_interim);
         on_informational(&mut request, move |_| {
             has_interim.store(true, Ordering::Relaxed);
@@ -82,6 +95,13 @@
         self.sender.try_send_request(request).await
     }
 
+    /// Tells whether bytes of the next request are written.
+    pub(crate) fn exposure(&self) -> Exposure {
+        Exposure {
+            stream: self.stream.clone(),
+        }
+    }
+
     /// Records that the response was read completely.
     pub(crate) fn mark_complete(&mut self) {
         self.is_awaiting = false;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -29,6 +29,10 @@
     resets: Rc<Cell<bool>>,
     /// Whether the next byte from the peer begins a response.
     awaits_head: Rc<Cell<bool>>,
+    /// Whether the kernel has taken a byte since `begin_request`.
+    has_written: Rc<Cell<bool>>,
+    /// Whether the kernel is given no further bytes.
+    is_sealed: Rc<Cell<bool>>,
 }
 
 impl SharedStream {
@@ -37,6 +41,8 @@
             stream: Rc::new(stream),
             resets: Rc::default(),
             awaits_head: Rc::default(),
+            has_written: Rc::default(),
+            is_sealed: Rc::default(),
         }
     }
 
@@ -49,8 +55,29 @@
     }
 
     /// Requires the next byte from the peer to begin a status line. The HTTP parser skips empty lines before one.
-    pub(super) fn expect_head(&self) {
+    pub(super) fn begin_request(&self) {
         self.awaits_head.set(true);
+        self.has_written.set(false);
+    }
+
+    /// Gives the kernel no further bytes. Returns whether it has taken any since `begin_request`.
+    pub(super) fn seal(&self) -> bool {
+        self.is_sealed.set(true);
+        self.has_written.get()
+    }
+
+    /// Writes by `attempt`, unless the stream is sealed.
+    fn poll_write_by(
+        &self,
+        cx: &mut Context<'_>,
+        attempt: impl FnMut() -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        if self.is_sealed.get() {
+            return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
+        }
+        let written = ready!(poll_io(|| self.stream.poll_write_ready(cx), attempt))?;
+        self.has_written.set(self.has_written.get() || written > 0);
+        Poll::Ready(Ok(written))
     }
 
     /// Checks the first byte of a response.
@@ -110,10 +137,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        poll_io(
-            || self.stream.poll_write_ready(cx),
-            || self.stream.try_write(buf),
-        )
+        self.poll_write_by(cx, || self.stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -121,10 +145,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        poll_io(
-            || self.stream.poll_write_ready(cx),
-            || self.stream.try_write_vectored(bufs),
-        )
+        self.poll_write_by(cx, || self.stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/relay/tests/pool.rs
+++ b/src/relay/tests/pool.rs
@@ -6,13 +6,15 @@
     http_body_util::{BodyExt, Full},
     hyper::Request,
     std::{
+        future::{Future, poll_fn},
         io::{Read, Write},
         net::TcpListener,
         sync::mpsc,
+        task::Poll,
         thread,
         time::Duration,
     },
-    tokio::{runtime::Builder, task::LocalSet},
+    tokio::{runtime::Builder, task::LocalSet, time},
 };
 
 const MAX_IDLE: Duration = Duration::from_mins(1);
@@ -83,3 +85,41 @@
         }
     });
 }
+
+/// Guards against a request that is reported as not run and is sent nonetheless, and against one of which nothing was
+/// sent and that counts as possibly run: it is given up before the runtime writes to the socket, or after it.
+#[test]
+fn a_request_that_is_given_up_is_not_sent_later() {
+    for polls_socket in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, read) = mpsc::channel();
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            while let Ok(length @ 1..) = stream.read(&mut [0; 1_024]) {
+                sender.send(length).unwrap();
+            }
+        });
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        let has_written = LocalSet::new().block_on(&runtime, async move {
+            let mut connection = pool::connect(address, LIMIT).await.unwrap();
+            let exposure = connection.exposure();
+            let request = Request::new(Full::new(Bytes::new()));
+            let mut attempt = Box::pin(connection.try_send_request(request));
+            // Gives the request to the task of the connection, which has not run yet.
+            let is_pending =
+                poll_fn(|cx| Poll::Ready(attempt.as_mut().poll(cx).is_pending())).await;
+            assert!(is_pending);
+            if polls_socket {
+                let _ = time::timeout(Duration::from_millis(200), &mut attempt).await;
+            }
+            let has_written = exposure.end();
+            // The attempt goes on, and writes nothing more.
+            let _ = time::timeout(Duration::from_millis(200), &mut attempt).await;
+            has_written
+        });
+        assert_eq!(has_written, polls_socket);
+        drop(runtime);
+        assert_eq!(read.recv_timeout(LIMIT).is_ok(), polls_socket);
+    }
+}
