Keep a rest period for its incarnation, whatever key it has

Cause: a response that arrived after its upstream got another key in the arena lost its rest period, and only one incarnation's period was kept while the catalogue listed another.

Change: periods of unlisted incarnations are kept by name and incarnation, and a response is attributed by these.

--- a/src/backpressure/decide.rs
+++ b/src/backpressure/decide.rs
@@ -60,5 +60,5 @@
         }
         leaving.born > 0 && now < leaving.listed.plus_millis(MEMORY_MS)
     });
-    state.unlisted.retain(|_, (_, rest)| now < rest.until);
+    state.unlisted.retain(|_, rest| now < rest.until);
 }
--- a/src/backpressure/mod.rs
+++ b/src/backpressure/mod.rs
@@ -16,6 +16,9 @@
     decide::{forget, has_left, record_leaving},
     fence::Fence,
     messages::{Change, Notice},
-    rest::{free_at, may_send, record_end, record_rest, record_sent, set_listed, set_unlisted},
+    rest::{
+        free_at, may_send, record_end, record_rest, record_sent, record_unlisted_rest, set_listed,
+        set_unlisted,
+    },
     state::State,
 };
--- a/src/backpressure/rest.rs
+++ b/src/backpressure/rest.rs
@@ -46,20 +46,40 @@
     now: Micros,
 ) -> Option<Change> {
     let known = state.rests.get(upstream).copied();
+    let rest = renew(known, asked_until, random, now)?;
+    state.rests.insert(upstream, rest);
+    Some(Change::Resting(rest.until))
+}
+
+/// Records the same of an incarnation that the catalogue does not list.
+pub fn record_unlisted_rest(
+    state: &mut State,
+    (id, born): (&Arc<str>, u64),
+    asked_until: Micros,
+    random: u64,
+    now: Micros,
+) {
+    let name = (Arc::clone(id), born);
+    let known = state.unlisted.get(&name).copied();
+    if let Some(rest) = renew(known, asked_until, random, now) {
+        state.unlisted.insert(name, rest);
+    }
+}
+
+/// The rest that follows from a period until `asked_until`, unless it is over or a `known` one lasts longer.
+fn renew(known: Option<Rest>, asked_until: Micros, random: u64, now: Micros) -> Option<Rest> {
     if asked_until <= now || known.is_some_and(|rest| asked_until <= rest.asked_until) {
         return None;
     }
     let rest_ms = u64::try_from(asked_until.since(now).as_millis()).unwrap_or(u64::MAX);
     let share_ms = rest_ms / SHARE_DIVISOR;
     let extension_ms = random % share_ms.clamp(MIN_EXTENSION_MS, MAX_EXTENSION_MS);
-    let rest = Rest {
+    Some(Rest {
         asked_until,
         until: asked_until.plus_millis(extension_ms),
         spacing_ms: share_ms.clamp(MIN_SPACING_MS, MAX_SPACING_MS),
         phase: Phase::Resting,
-    };
-    state.rests.insert(upstream, rest);
-    Some(Change::Resting(rest.until))
+    })
 }
 
 /// Whether an upstream may be sent a request now.
@@ -133,15 +153,13 @@
 /// Keeps the rest period of an upstream that the catalogue no longer lists with this key.
 pub fn set_unlisted(state: &mut State, upstream: UpstreamKey, id: &Arc<str>, born: u64) {
     if let Some(rest) = state.rests.remove(upstream) {
-        state.unlisted.insert(Arc::clone(id), (born, rest));
+        state.unlisted.insert((Arc::clone(id), born), rest);
     }
 }
 
 /// Applies the rest period of the same incarnation of an upstream to its new key.
-pub fn set_listed(state: &mut State, upstream: UpstreamKey, id: &str, born: u64) {
-    if let Some((earlier, rest)) = state.unlisted.remove(id)
-        && earlier == born
-    {
+pub fn set_listed(state: &mut State, upstream: UpstreamKey, id: &Arc<str>, born: u64) {
+    if let Some(rest) = state.unlisted.remove(&(Arc::clone(id), born)) {
         // The probe in flight, if there is one, has the earlier key.
         let phase = match rest.phase {
             Phase::Probing(_) => Phase::Resting,
--- a/src/backpressure/state.rs
+++ b/src/backpressure/state.rs
@@ -17,9 +17,9 @@
     pub(super) leaving: Sorted<Arc<str>, Leaving>,
     /// Rest periods that upstreams asked for, and their consequences.
     pub(super) rests: SecondaryMap<UpstreamKey, Rest>,
-    /// Rest periods of upstreams that the catalogue does not list, with their incarnations. A late report may list
+    /// Rest periods of upstreams that the catalogue does not list, by name and incarnation. A late report may list
     /// them again.
-    pub(super) unlisted: Sorted<Arc<str>, (u64, Rest)>,
+    pub(super) unlisted: Sorted<(Arc<str>, u64), Rest>,
 }
 
 /// An incarnation that said that it leaves.
--- a/src/steer/pressure.rs
+++ b/src/steer/pressure.rs
@@ -20,13 +20,20 @@
     if notice.is_leaving {
         record_leaving(state, target, now);
     }
-    // A key of an earlier incarnation is no longer in the arena.
-    if let Some(until) = notice.rest_until
-        && state.upstreams.contains_key(target.key)
-    {
-        let pressure = &mut state.pressure;
-        let change = backpressure::record_rest(pressure, target.key, until, random, now);
-        report_change(state, target.key, change, now);
+    let Some(until) = notice.rest_until else {
+        return;
+    };
+    // The same incarnation may have another key by now, or none.
+    let key = state.ids.get(&target.id).copied();
+    let row = key.and_then(|key| state.upstreams.get(key));
+    let key = key.filter(|_| row.is_some_and(|row| row.born == target.born));
+    let pressure = &mut state.pressure;
+    if let Some(key) = key {
+        let change = backpressure::record_rest(pressure, key, until, random, now);
+        report_change(state, key, change, now);
+    } else {
+        let incarnation = (&target.id, target.born);
+        backpressure::record_unlisted_rest(pressure, incarnation, until, random, now);
     }
 }
 
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -2,6 +2,7 @@
 mod leaving;
 mod load;
 mod locality;
+mod pressure_fuzz;
 mod rest;
 mod shares;
 mod slow_start;
