--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         learn, place, pressure,
-        state::{Basis, Effect, InFlight, State},
+        state::{Effect, InFlight, State},
     },
     crate::{
         call::{Ran, Reason, Refusal},
@@ -328,7 +328,7 @@
         }
         learn::record_outcome(state, upstream, ended, now);
         pressure::record_end(state, upstream, key, ended, now);
-        record_locality(state, key, basis, ended, now);
+        learn::record_locality(state, key, basis, ended, now);
     }
     match ended {
         Ended::Answered { .. } => {
@@ -361,27 +361,6 @@
     }
 }
 
-/// Records whether a first attempt met its objective at its distance, for the choice of local affinity keys.
-fn record_locality(state: &mut State, key: InFlightKey, basis: Basis, ended: Ended, now: Micros) {
-    let Some(in_flight) = state.in_flight.get(key) else {
-        return;
-    };
-    let is_cancelled = matches!(ended, Ended::Failed { reason, .. } if reason == Reason::Cancelled);
-    if in_flight.tried.len() > 1 || is_cancelled {
-        return;
-    }
-    let Some(pool) = state.pools.get_mut(&in_flight.service) else {
-        return;
-    };
-    let in_time = matches!(ended, Ended::Answered { status, .. } if status < 500)
-        && now <= in_flight.arrived.plus_millis(in_flight.route.objective_ms);
-    pool.locality
-        .record(usize::from(basis.distance), in_time, now);
-    if basis.spilled {
-        pool.locality.record(0, false, now);
-    }
-}
-
 /// Retries a request if that is safe and within its limits; refuses it otherwise.
 fn retry(state: &mut State, key: InFlightKey, reason: Reason, ran: Ran, random: u64, now: Micros) {
     let Some(in_flight) = state.in_flight.get_mut(key) else {
--- a/src/steer/learn.rs
+++ b/src/steer/learn.rs
@@ -141,3 +141,30 @@
         connect_us
     };
 }
+
+/// Records whether a first attempt met its objective at its distance, for the choice of local affinity keys.
+pub(super) fn record_locality(
+    state: &mut State,
+    key: InFlightKey,
+    basis: Basis,
+    ended: Ended,
+    now: Micros,
+) {
+    let Some(in_flight) = state.in_flight.get(key) else {
+        return;
+    };
+    let is_cancelled = matches!(ended, Ended::Failed { reason, .. } if reason == Reason::Cancelled);
+    if in_flight.tried.len() > 1 || is_cancelled {
+        return;
+    }
+    let Some(pool) = state.pools.get_mut(&in_flight.service) else {
+        return;
+    };
+    let in_time = matches!(ended, Ended::Answered { status, .. } if status < 500)
+        && now <= in_flight.arrived.plus_millis(in_flight.route.objective_ms);
+    pool.locality
+        .record(usize::from(basis.distance), in_time, now);
+    if basis.spilled {
+        pool.locality.record(0, false, now);
+    }
+}
