--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -41,7 +41,8 @@
         | Reason::PeerUnreachable
         | Reason::Cancelled
         | Reason::NotJoined
-        | Reason::IdentityUnknown => 503,
+        | Reason::IdentityUnknown
+        | Reason::UpstreamHeld => 503,
     }
 }
 
--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -8,13 +8,14 @@
         settings::Settings,
     },
     crate::{
-        call::{Answer, Ran, Reason},
+        backpressure::{Fence, Notice},
+        call::{Answer, Ran, Reason, is_valid_status},
         cancel::{self, Cancel},
         context::Context,
         edge::held::{BodyError, Held},
         relay::{
             encode::relayed_headers,
-            pool::{self, Connection, Pool},
+            pool::{self, Connection, Exposure, Pool},
             splice::is_spliced,
         },
     },
@@ -37,6 +38,16 @@
     pub(super) pool: Rc<RefCell<Pool>>,
     pub(super) held: Held,
     pub(super) crashes: Crashes,
+    pub(super) fence: Rc<RefCell<Fence>>,
+}
+
+/// What an attempt finds out besides its outcome.
+#[derive(Default)]
+pub(super) struct Findings {
+    /// Microseconds spent on opening a connection.
+    pub(super) connect_us: Cell<Option<u64>>,
+    /// What the upstream said about further requests.
+    pub(super) notice: Cell<Notice>,
 }
 
 /// Outcome of an attempt, with the response to deliver.
@@ -55,27 +66,32 @@
 }
 
 /// Makes the attempt. A connection is reused only after a complete response, so that a late
-/// response cannot be delivered to another request, and never for a request that was rejected on it. `connect_us` receives the microseconds spent on
-/// opening a connection.
+/// response cannot be delivered to another request, and never for a request that was rejected on it.
 pub(super) async fn run(
     resources: &Resources,
     dispatch: &Dispatch,
-    connect_us: &Cell<Option<u64>>,
+    findings: &Findings,
 ) -> Outcome {
-    let sent = Cell::new(false);
+    let sent = RefCell::new(None);
     let cancel = Some(dispatch.cancel.clone());
     let reason = tokio::select! {
-        outcome = attempt(resources, dispatch, &sent, connect_us) => return outcome,
+        outcome = attempt(resources, dispatch, &sent, findings) => return outcome,
         () = cancel::wait(cancel) => Reason::Cancelled,
         () = time::sleep(remaining(resources, dispatch)) => Reason::AnswerTimeout,
     };
-    if sent.get() {
+    // The attempt, which owns the connection, has ended, so that nothing is written between this check and its end.
+    if sent.borrow().as_ref().is_some_and(Exposure::end) {
         unknown(reason)
     } else {
         not_run(reason)
     }
 }
 
+/// Whole milliseconds of a duration.
+fn as_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Time until the deadline of the attempt.
 fn remaining(resources: &Resources, dispatch: &Dispatch) -> Duration {
     dispatch.until.since(resources.context.clock.now())
@@ -84,15 +100,21 @@
 async fn attempt(
     resources: &Resources,
     dispatch: &Dispatch,
-    sent: &Cell<bool>,
-    connect_us: &Cell<Option<u64>>,
+    sent: &RefCell<Option<Exposure>>,
+    findings: &Findings,
 ) -> Outcome {
     let name = (resources.wire_format.name)(&dispatch.payload).map(xxh3_64);
+    let connect_us = &findings.connect_us;
     let Some((mut connection, reused)) = obtain(resources, dispatch, name, connect_us).await else {
         return not_run(Reason::ConnectFailed);
     };
-    let remaining_ms =
-        u64::try_from(remaining(resources, dispatch).as_millis()).unwrap_or(u64::MAX);
+    // Responses to other requests may have arrived while the connection was being opened.
+    let now = resources.context.clock.now();
+    if let Some(notice) = resources.fence.borrow().check(dispatch.target.key, now) {
+        findings.notice.set(notice);
+        return not_run(Reason::UpstreamHeld);
+    }
+    let remaining_ms = as_millis(remaining(resources, dispatch));
     if remaining_ms == 0 {
         return not_run(Reason::DeadlineExceeded);
     }
@@ -109,20 +131,25 @@
     let Some(request) = request else {
         return not_run(Reason::Malformed);
     };
-    sent.set(true);
+    sent.replace(Some(connection.exposure()));
     let response = match connection.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
-            // hyper returns the request only if no byte of it was written.
-            if error.take_message().is_none() {
+            // hyper returns the request if it has not begun to write it, but not if the first write fails.
+            let is_returned = error.take_message().is_some();
+            if !is_returned && connection.exposure().end() {
                 return unknown(Reason::AnswerCut);
             }
-            sent.set(false);
             return not_run(Reason::ConnectFailed);
         }
     };
     let (parts, body) = response.into_parts();
+    // Nothing in such a response is reliable, a statement that the request did not run included.
+    if !is_valid_status(parts.status.as_u16()) {
+        return unknown(Reason::AnswerMismatch);
+    }
     let head = (resources.wire_format.decode)(&parts, &dispatch.payload);
+    record_notice(resources, dispatch, &head, findings);
     // On a connection that has served another request, a response without a name may be a late second
     // copy of that request's response, and the head may begin with a part of one.
     let is_ambiguous =
@@ -145,6 +172,21 @@
     classify(&parts, head, body)
 }
 
+/// Records what the head of a response says about further requests. A misdirected one is of another upstream.
+fn record_notice(resources: &Resources, dispatch: &Dispatch, head: &Head, findings: &Findings) {
+    if head.meaning == Meaning::Misdirected {
+        return;
+    }
+    let now = resources.context.clock.now();
+    let notice = Notice {
+        is_leaving: head.is_leaving,
+        rest_until: head.rest.map(|rest| now.plus_millis(as_millis(rest))),
+    };
+    let mut fence = resources.fence.borrow_mut();
+    fence.record(dispatch.target.key, notice);
+    findings.notice.set(notice);
+}
+
 /// Outcome for a truncated or oversized body. A head that reports the request as not run remains
 /// valid without its body.
 fn body_failure(head: &Head, error: BodyError) -> Outcome {
@@ -164,7 +206,7 @@
         Meaning::NotRun => return failed(Reason::UpstreamRefused, Ran::No, head.load),
         Meaning::Answer | Meaning::Mismatch => {}
     }
-    if !head.has_proof || parts.status.is_informational() {
+    if !head.has_proof {
         return unknown(Reason::AnswerMismatch);
     }
     let status = parts.status.as_u16();
--- a/src/courier/tests/mod.rs
+++ b/src/courier/tests/mod.rs
@@ -2,6 +2,8 @@
 
 mod connections;
 mod copies;
+mod fence;
+mod status;
 
 use {
     super::{Caller, Dispatch, Ended, Head, Meaning, Report, Settings, Target, WireFormat, spawn},
@@ -9,12 +11,12 @@
         call::{Header, Payload, Ran, Reason},
         cancel::{self, Guard},
         context::Context,
-        keys::{InFlightKey, ZoneKey},
+        keys::{InFlightKey, UpstreamKey, ZoneKey},
         poison::{self, Monitor, Verdicts},
         ring::{self, Ring},
     },
     http_body_util::Full,
-    hyper::{Request, header::HeaderValue},
+    hyper::{Request, header::HeaderValue, http::response::Parts},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpListener},
@@ -68,11 +70,19 @@
             has_proof: parts.headers.get("unproven").is_none(),
             names_request: parts.headers.contains_key("id"),
             load: None,
+            is_leaving: parts.headers.contains_key("leaving"),
+            rest: rest_of(parts),
             idle_ms: None,
         }
     },
 };
 
+/// Time in the header `rest`, in milliseconds.
+fn rest_of(parts: &Parts) -> Option<Duration> {
+    let text = parts.headers.get("rest")?.to_str().ok()?;
+    Some(Duration::from_millis(text.parse().ok()?))
+}
+
 /// Starts an upstream that responds to each request with the same bytes, and then closes the
 /// connection if `closes`. Returns its address and the requests that it receives.
 fn upstream(bytes: &'static str, closes: bool) -> (SocketAddr, Receiver<String>) {
@@ -105,6 +115,8 @@
     reports: Receiver<Report>,
     poison: Ring<poison::Message>,
     context: Context,
+    /// Key of the upstream of the next requests.
+    upstream: UpstreamKey,
     _stop: oneshot::Sender<()>,
 }
 
@@ -132,6 +144,7 @@
             reports,
             poison,
             context,
+            upstream: UpstreamKey::default(),
             _stop: stop,
         }
     }
@@ -191,6 +204,7 @@
                 address,
                 id: "u-1".into(),
                 born: 5,
+                key: self.upstream,
             },
             until: self.context.clock.now().plus_millis(remaining_ms),
             payload: payload.into(),
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -18,12 +18,21 @@
     },
 };
 
+/// First byte of `HTTP/1.1`, with which each status line begins.
+const STATUS_LINE_START: u8 = b'H';
+
 /// A TCP stream; clones share the socket.
 #[derive(Clone, Debug)]
 pub(super) struct SharedStream {
     stream: Rc<TcpStream>,
     /// Whether the connection is reset when it is closed.
     resets: Rc<Cell<bool>>,
+    /// Whether the next byte from the peer begins a response.
+    awaits_head: Rc<Cell<bool>>,
+    /// Whether the kernel has taken a byte since `begin_request`.
+    has_written: Rc<Cell<bool>>,
+    /// Whether the kernel is given no further bytes.
+    is_sealed: Rc<Cell<bool>>,
 }
 
 impl SharedStream {
@@ -31,6 +40,9 @@
         Self {
             stream: Rc::new(stream),
             resets: Rc::default(),
+            awaits_head: Rc::default(),
+            has_written: Rc::default(),
+            is_sealed: Rc::default(),
         }
     }
 
@@ -42,6 +54,43 @@
         peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Requires the next byte from the peer to begin a status line. The HTTP parser skips empty lines before one.
+    pub(super) fn begin_request(&self) {
+        self.awaits_head.set(true);
+        self.has_written.set(false);
+    }
+
+    /// Gives the kernel no further bytes. Returns whether it has taken any since `begin_request`.
+    pub(super) fn seal(&self) -> bool {
+        self.is_sealed.set(true);
+        self.has_written.get()
+    }
+
+    /// Writes by `attempt`, unless the stream is sealed.
+    fn poll_write_by(
+        &self,
+        cx: &mut Context<'_>,
+        attempt: impl FnMut() -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        if self.is_sealed.get() {
+            return Poll::Ready(Err(ErrorKind::BrokenPipe.into()));
+        }
+        let written = ready!(poll_io(|| self.stream.poll_write_ready(cx), attempt))?;
+        self.has_written.set(self.has_written.get() || written > 0);
+        Poll::Ready(Ok(written))
+    }
+
+    /// Checks the first byte of a response.
+    fn check_head(&self, bytes: &[u8]) -> io::Result<()> {
+        let Some(first) = bytes.first() else {
+            return Ok(());
+        };
+        if self.awaits_head.take() && *first != STATUS_LINE_START {
+            return Err(ErrorKind::InvalidData.into());
+        }
+        Ok(())
+    }
+
     /// Makes the kernel reset the connection when it is closed, and discard bytes that the peer has not
     /// acknowledged.
     pub(super) fn reset_on_close(&self) {
@@ -71,11 +120,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let start = buf.filled().len();
         let read = poll_io(
             || self.stream.poll_read_ready(cx),
             || self.stream.try_read(buf.initialize_unfilled()),
         );
-        read.map_ok(|length| buf.advance(length))
+        let length = ready!(read)?;
+        buf.advance(length);
+        Poll::Ready(self.check_head(&buf.filled()[start..]))
     }
 }
 
@@ -85,10 +137,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        poll_io(
-            || self.stream.poll_write_ready(cx),
-            || self.stream.try_write(buf),
-        )
+        self.poll_write_by(cx, || self.stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -96,10 +145,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        poll_io(
-            || self.stream.poll_write_ready(cx),
-            || self.stream.try_write_vectored(bufs),
-        )
+        self.poll_write_by(cx, || self.stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -10,6 +10,7 @@
         state::{DISTANCES, MAX_PREFERRED, Pool, Rate, State, Upstream},
     },
     crate::{
+        backpressure,
         balance::{Average, Estimate, Rankings},
         beacon::state::DISTANT_EXPIRY_MS,
         catalog::{self, Service, follow::CatalogView},
@@ -56,8 +57,10 @@
         .collect();
     for (id, key) in removed {
         state.ids.remove(&id);
-        state.upstreams.remove(key);
+        remove_upstream(state, key);
     }
+    let is_listed = |id: &str| catalog.upstreams.get(id).is_some();
+    backpressure::forget(&mut state.pressure, is_listed, now);
     for row in catalog.upstreams.rows() {
         let zone = &row.value.zone;
         let evacuation = Evacuation {
@@ -140,6 +143,13 @@
     }
 }
 
+/// Removes an upstream from the arena.
+fn remove_upstream(state: &mut State, key: UpstreamKey) {
+    if let Some(row) = state.upstreams.remove(key) {
+        backpressure::set_unlisted(&mut state.pressure, key, &row.id, row.born);
+    }
+}
+
 /// State of the evacuation of an upstream's zone.
 #[derive(Clone, Copy, Debug)]
 struct Evacuation {
@@ -156,7 +166,8 @@
     now: Micros,
 ) {
     let was_evacuated = evacuation.was_on;
-    let eligible = !row.leaving && !evacuation.is_on;
+    let has_left = backpressure::has_left(&state.pressure, id, row.born);
+    let eligible = !row.leaving && !evacuation.is_on && !has_left;
     let cold_ms = {
         let service = state.pools.get(row.service.as_str());
         let full_ms = service.map_or(0, |pool| pool.service.cold_ms);
@@ -219,8 +230,9 @@
         upstream.extend_slow_start(remaining_ms, now);
     }
     if let Some(previous) = state.ids.get(&id).copied() {
-        state.upstreams.remove(previous);
+        remove_upstream(state, previous);
     }
     let key = state.upstreams.insert(upstream);
+    backpressure::set_listed(&mut state.pressure, key, &id, row.born);
     state.ids.insert(id, key);
 }
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         bodies::{self, Scan},
-        identity, learn, place, split,
-        state::{Basis, Effect, InFlight, Preference, State},
+        identity, learn, place, pressure, split,
+        state::{Effect, InFlight, State},
     },
     crate::{
         call::{Ran, Reason, Refusal},
@@ -154,6 +154,7 @@
         return false;
     };
     place::record_sent(state, upstream, basis, now);
+    pressure::record_sent(state, upstream, key, now);
     let (Some(in_flight), Some(row)) =
         (state.in_flight.get_mut(key), state.upstreams.get(upstream))
     else {
@@ -164,6 +165,7 @@
     state.bodies.add(upstream, in_flight.body_bytes);
     state.effects.push(Effect::Send {
         in_flight: key,
+        upstream,
         address: row.address,
         id: Arc::clone(&row.id),
         born: row.born,
@@ -188,6 +190,10 @@
     if !members.clone().any(|upstream| upstream.eligible) {
         return Some(Reason::NoUpstream);
     }
+    let rest_end = pressure::rest_end(state, pool, in_flight, now);
+    if rest_end.is_some_and(|end| end > in_flight.send_by) {
+        return Some(Reason::NoSlot);
+    }
     let waiting: usize = state
         .pools
         .rows()
@@ -255,7 +261,8 @@
 
 /// Milliseconds after which a caller should retry: the expected time until the waiting requests have been
 /// served, at least the work time of one request, clamped to `MIN_RETRY_MS..=MAX_RETRY_MS`. It is extended at
-/// random by up to as much again, so that callers do not all retry at the same time.
+/// random by up to as much again, so that callers do not all retry at the same time. If all upstreams rest, it begins
+/// when the first of them accepts requests again.
 fn retry_delay_ms(state: &State, in_flight: &InFlight, random: u64, now: Micros) -> u32 {
     let Some(pool) = state.pools.get(&in_flight.service) else {
         return 200;
@@ -268,7 +275,10 @@
     let base_ms = wait_ms
         .max(pool.cached_us / MILLI)
         .clamp(MIN_RETRY_MS, MAX_RETRY_MS);
-    jittered_ms(base_ms, random)
+    let rest_end = pressure::rest_end(state, pool, in_flight, now);
+    let rest_ms = rest_end.map_or(0, |end| end.since(now).as_millis());
+    let rest_ms = u32::try_from(rest_ms).unwrap_or(u32::MAX);
+    rest_ms.saturating_add(jittered_ms(base_ms, random))
 }
 
 /// A delay extended at random by up to as much again.
@@ -315,7 +325,8 @@
             row.record_key(key, now);
         }
         learn::record_outcome(state, upstream, ended, now);
-        record_locality(state, key, basis, ended, now);
+        pressure::record_end(state, upstream, key, ended, now);
+        learn::record_locality(state, key, basis, ended, now);
     }
     match ended {
         Ended::Answered { .. } => {
@@ -347,27 +358,6 @@
     }
 }
 
-/// Records whether a first attempt met its objective at its distance, for the choice of local affinity keys.
-fn record_locality(state: &mut State, key: InFlightKey, basis: Basis, ended: Ended, now: Micros) {
-    let Some(in_flight) = state.in_flight.get(key) else {
-        return;
-    };
-    let is_cancelled = matches!(ended, Ended::Failed { reason, .. } if reason == Reason::Cancelled);
-    if in_flight.tried.len() > 1 || is_cancelled || basis.preference == Preference::RemoteHome {
-        return;
-    }
-    let Some(pool) = state.pools.get_mut(&in_flight.service) else {
-        return;
-    };
-    let in_time = matches!(ended, Ended::Answered { status, .. } if status < 500)
-        && now <= in_flight.arrived.plus_millis(in_flight.route.objective_ms);
-    pool.locality
-        .record(usize::from(basis.distance), in_time, now);
-    if basis.preference == Preference::Spilled {
-        pool.locality.record(0, false, now);
-    }
-}
-
 /// Retries a request if that is safe and within its limits; refuses it otherwise.
 fn retry(state: &mut State, key: InFlightKey, reason: Reason, ran: Ran, random: u64, now: Micros) {
     let Some(in_flight) = state.in_flight.get_mut(key) else {
@@ -379,7 +369,7 @@
     let is_safe = ran == Ran::No || in_flight.is_repeatable();
     let has_attempts_left = in_flight.possible_runs < in_flight.route.attempts.max(1)
         && in_flight.tried.len() < MAX_SENDS;
-    let reached_upstream = !matches!(reason, Reason::ConnectFailed);
+    let reached_upstream = !matches!(reason, Reason::ConnectFailed | Reason::UpstreamHeld);
     let ran = if in_flight.possible_runs > 0 {
         Ran::Unknown
     } else {
--- a/src/steer/learn.rs
+++ b/src/steer/learn.rs
@@ -1,7 +1,7 @@
 //! Updates the statistics of upstreams from ended attempts: work time, slowness, load and failures.
 
 use {
-    super::state::{Basis, MAX_PREFERRED, State, Upstream},
+    super::state::{Basis, MAX_PREFERRED, Preference, State, Upstream},
     crate::{
         call::Reason,
         clock::Micros,
@@ -13,8 +13,8 @@
 /// Weight of the newest attempt in a moving average.
 const EWMA_WEIGHT: f64 = 0.1;
 /// Failure rate above which error responses, time-outs and mismatched responses put an upstream in back-off.
-/// All other failures do so at any rate, except refusals by the upstream, cancelled attempts and expired
-/// deadlines, which never do.
+/// All other failures do so at any rate, except refusals by the upstream, attempts that were not sent since it
+/// restricted them, cancelled attempts and expired deadlines, which never do.
 const MAX_FAILURE_RATE: f64 = 0.5;
 /// Upper limit on the ratio to the average work time that one attempt adds to the slowness of its upstream.
 const MAX_SLOWNESS: f64 = 10.0;
@@ -104,7 +104,8 @@
             Reason::Cancelled
             | Reason::DeadlineExceeded
             | Reason::Poisoned
-            | Reason::IdentityUnknown => {}
+            | Reason::IdentityUnknown
+            | Reason::UpstreamHeld => {}
             Reason::AnswerTimeout | Reason::AnswerMismatch => {
                 upstream.failure_rate += EWMA_WEIGHT * (1.0 - upstream.failure_rate);
                 if upstream.failure_rate > MAX_FAILURE_RATE {
@@ -142,3 +143,30 @@
         connect_us
     };
 }
+
+/// Records whether a first attempt met its objective at its distance, for the choice of local affinity keys.
+pub(super) fn record_locality(
+    state: &mut State,
+    key: InFlightKey,
+    basis: Basis,
+    ended: Ended,
+    now: Micros,
+) {
+    let Some(in_flight) = state.in_flight.get(key) else {
+        return;
+    };
+    let is_cancelled = matches!(ended, Ended::Failed { reason, .. } if reason == Reason::Cancelled);
+    if in_flight.tried.len() > 1 || is_cancelled || basis.preference == Preference::RemoteHome {
+        return;
+    }
+    let Some(pool) = state.pools.get_mut(&in_flight.service) else {
+        return;
+    };
+    let in_time = matches!(ended, Ended::Answered { status, .. } if status < 500)
+        && now <= in_flight.arrived.plus_millis(in_flight.route.objective_ms);
+    pool.locality
+        .record(usize::from(basis.distance), in_time, now);
+    if basis.preference == Preference::Spilled {
+        pool.locality.record(0, false, now);
+    }
+}
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -14,6 +14,7 @@
 pub mod messages;
 mod pacing;
 mod place;
+mod pressure;
 pub mod settings;
 mod split;
 mod state;
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -16,6 +16,7 @@
         },
     },
     crate::{
+        backpressure,
         balance::{Expected, Ranking, decide as balance},
         clock::Micros,
         keys::{InFlightKey, UpstreamKey},
@@ -56,6 +57,11 @@
     {
         return false;
     }
+    backpressure::may_send(&state.pressure, key, now) && is_in_homes(state, in_flight, upstream)
+}
+
+/// Whether `upstream` is in a region that may serve `in_flight`.
+pub(super) fn is_in_homes(state: &State, in_flight: &InFlight, upstream: &Upstream) -> bool {
     let region = state.regions.get(&*upstream.zone);
     in_flight.may_enter(region, &state.tenants)
 }
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -10,6 +10,7 @@
         settings::Settings,
     },
     crate::{
+        backpressure,
         balance::{self, Average, Estimate, Expected, Rankings},
         call::{Reason, Refusal},
         catalog::{Route, Service},
@@ -183,6 +184,7 @@
     /// Sends the request to an upstream.
     Send {
         in_flight: InFlightKey,
+        upstream: UpstreamKey,
         address: SocketAddr,
         id: Arc<str>,
         /// Incarnation of the upstream.
@@ -265,6 +267,8 @@
     pub(super) entry_vms: Sorted<String, RecentMax>,
     /// Moving average of the time to open a connection in microseconds, by distance.
     pub(super) connect_us: [f64; DISTANCES],
+    /// What the responses of upstreams said about further requests.
+    pub(super) pressure: backpressure::State,
     pub(super) effects: Vec<Effect>,
 }
 
@@ -300,6 +304,7 @@
             discovery_end: Micros(0),
             entry_vms: Sorted::default(),
             connect_us: [0.0; DISTANCES],
+            pressure: backpressure::State::default(),
             effects: Vec::new(),
         }
     }
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -1,8 +1,11 @@
 mod balance;
 mod bodies;
 mod budget;
+mod leaving;
 mod load;
 mod locality;
+mod pressure_fuzz;
+mod rest;
 mod shares;
 mod slow_start;
 mod tenants;
--- a/src/steer/tests/thread.rs
+++ b/src/steer/tests/thread.rs
@@ -3,6 +3,7 @@
 use {
     super::at,
     crate::{
+        backpressure::Notice,
         call::{Outcome, Payload, Ran, Reason},
         cancel::{self, Guard},
         catalog::{
@@ -140,11 +141,13 @@
     }
     let report = Report {
         in_flight: dispatch.in_flight,
+        target: dispatch.target.clone(),
         ended: Ended::Failed {
             reason: Reason::IdentityUnknown,
             ran: Ran::No,
             load: None,
         },
+        notice: Notice::default(),
         answer: None,
         connect_us: None,
         took_us: 0,
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -6,6 +6,7 @@
         decide::{self, QUEUE_SCAN_MS, RequestHead},
         identity, learn,
         messages::{Message, Request},
+        pressure,
         settings::Settings,
         state::{Effect, State},
     },
@@ -221,6 +222,7 @@
         }
         self.log_attempt(&done, now);
         let random = rand::random();
+        pressure::heed(&mut self.state, &done.target, done.notice, random, now);
         decide::finish_attempt(
             &mut self.state,
             done.in_flight,
@@ -285,6 +287,7 @@
         match effect {
             Effect::Send {
                 in_flight,
+                upstream,
                 address,
                 id,
                 born,
@@ -327,7 +330,12 @@
                 pending.unrevoked = guard;
                 let dispatch = Dispatch {
                     in_flight,
-                    target: Target { address, id, born },
+                    target: Target {
+                        address,
+                        id,
+                        born,
+                        key: upstream,
+                    },
                     until: deadline,
                     payload: Arc::clone(&pending.payload),
                     caller: Caller {
