Let requests of tenants with a limit take a token before they are sent

Change: steer takes a token of the tenant's limit after the identity is known. A request without one waits for the answer of the leader, for half of its latency objective and at most 150 ms; then it gets 429 with the leader's delay, or 503 if there was no answer. A request that ends without having run gives its token back. Tenants without a limit and deployments without tenants make no call.

--- a/src/call.rs
+++ b/src/call.rs
@@ -94,13 +94,17 @@
     /// The caller's API key is not known to this VM, but may be valid: the key may be newer than this VM's
     /// configuration, or it has just moved to another tenant.
     IdentityUnknown,
+    /// The tenant has used up its limit.
+    OverLimit,
+    /// No control VM said whether the tenant's limit permits the request.
+    LimitUnknown,
     /// The upstream has restricted further requests since it was selected; the request was not sent to it.
     UpstreamHeld,
 }
 
 impl Reason {
     /// All reasons, in declaration order.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 30] = [
         Self::RingFull,
         Self::Stopping,
         Self::UnknownKind,
@@ -128,6 +132,8 @@
         Self::NotJoined,
         Self::Unauthorized,
         Self::IdentityUnknown,
+        Self::OverLimit,
+        Self::LimitUnknown,
         Self::UpstreamHeld,
     ];
 
@@ -166,6 +172,8 @@
             Self::NotJoined => "not_joined",
             Self::Unauthorized => "unauthorized",
             Self::IdentityUnknown => "identity_unknown",
+            Self::OverLimit => "over_limit",
+            Self::LimitUnknown => "limit_unknown",
             Self::UpstreamHeld => "upstream_held",
         }
     }
--- a/src/callers/encode.rs
+++ b/src/callers/encode.rs
@@ -26,6 +26,7 @@
         Reason::UnknownKind => 404,
         Reason::InProgress | Reason::MayHaveRun => 409,
         Reason::TooLarge => 413,
+        Reason::OverLimit => 429,
         Reason::KeyReused | Reason::Poisoned => 422,
         Reason::AnswerCut | Reason::AnswerTooLarge | Reason::AnswerMismatch => 502,
         Reason::DeadlineExceeded | Reason::AnswerTimeout => 504,
@@ -42,6 +43,7 @@
         | Reason::Cancelled
         | Reason::NotJoined
         | Reason::IdentityUnknown
+        | Reason::LimitUnknown
         | Reason::UpstreamHeld => 503,
     }
 }
--- a/src/gateway/wiring.rs
+++ b/src/gateway/wiring.rs
@@ -11,7 +11,8 @@
         edge::{self, Handler, Limits, Listener, ListenerHandle, Secret, listener::ListenError},
         observe::{Event, report},
         poison::{self, Followed, Monitor, Recipients},
-        ring::{self, Sender},
+        ring::{self, AsyncSender, Sender},
+        shares::{self, LeaseRequest},
         steer,
     },
     snafu::{ResultExt, Snafu},
@@ -118,6 +119,9 @@
             readiness: Readiness::new(&context),
         };
         let (control_tx, control) = watch::channel(settings.catalog.control.clone());
+        let (leader_tx, leader) = watch::channel(None);
+        let (leases, leases_stop, leases_thread) =
+            start_leases(settings, &context, secret, leader, steer.clone())?;
         let (monitor, poison_stops, poison_threads) =
             start_poison(settings, &context, secret, control)?;
         let deps = steer::Dependencies {
@@ -125,6 +129,7 @@
             zone: settings.zone.clone(),
             zones: settings.zones.clone(),
             courier,
+            leases,
             monitor: monitor.clone(),
         };
         let steer_thread = steer::spawn(settings.steer.clone(), deps, steer_ring);
@@ -149,6 +154,7 @@
             beacon: beacon.clone(),
             poison: monitor.ring.clone(),
             control: control_tx,
+            leader: leader_tx,
         };
         let zone = settings.zone.clone();
         let subscriber = subscriber(handle.clone(), followers, zone, settings.beacon_port);
@@ -164,38 +170,22 @@
         let mut threads = vec![
             steer_thread.context(ThreadSnafu { name: "steer" })?,
             courier_thread.context(ThreadSnafu { name: "courier" })?,
+            leases_thread,
             beacon_thread.context(ThreadSnafu { name: "beacon" })?,
             catalog_thread.context(ThreadSnafu { name: "catalog" })?,
         ];
         threads.extend(poison_threads);
-        let mut stops = vec![follow_stop, courier_stop];
+        let mut stops = vec![follow_stop, courier_stop, leases_stop];
         stops.extend(poison_stops);
-        let listen = |name, address, limits, make_handler| {
-            let listener = Listener {
-                name,
-                address,
-                limits,
-                secret: None,
-            };
-            edge::spawn(listener, context.clone(), make_handler)
-        };
-        let deps = admin::Dependencies {
-            poison: Some(monitor.ring),
-            ..admin::Dependencies::metrics_only(context.clone())
-        };
-        let admin = listen(
-            "admin",
-            settings.admin,
-            settings.vm.limits,
-            Box::new(move || admin::handler(deps)) as Box<dyn FnOnce() -> Handler + Send>,
-        )?;
+        let admin = listen_admin(settings, &context, monitor.ring)?;
         let inner = handle.clone();
-        let callers = listen(
-            "callers",
-            settings.callers,
-            caller_limits(settings),
-            Box::new(move || make_handler(inner)),
-        )?;
+        let listener = Listener {
+            name: "callers",
+            address: settings.callers,
+            limits: caller_limits(settings),
+            secret: None,
+        };
+        let callers = edge::spawn(listener, context.clone(), move || make_handler(inner))?;
         report(Event::STARTED, format_args!("gateway {}", context.vm));
         Ok(Self {
             handle,
@@ -261,6 +251,24 @@
     }
 }
 
+fn listen_admin(
+    settings: &Settings,
+    context: &Context,
+    poison: Sender<poison::Message>,
+) -> Result<ListenerHandle, ListenError> {
+    let listener = Listener {
+        name: "admin",
+        address: settings.admin,
+        limits: settings.vm.limits,
+        secret: None,
+    };
+    let deps = admin::Dependencies {
+        poison: Some(poison),
+        ..admin::Dependencies::metrics_only(context.clone())
+    };
+    edge::spawn(listener, context.clone(), move || admin::handler(deps))
+}
+
 fn caller_limits(settings: &Settings) -> Limits {
     Limits {
         body_bytes: settings.body_bytes,
@@ -279,6 +287,38 @@
     }
 }
 
+/// Starts the duty that calls the leader of the control VMs for tokens of limits, and gives its answers to the steer
+/// duty.
+fn start_leases(
+    settings: &Settings,
+    context: &Context,
+    secret: &Secret,
+    leader: watch::Receiver<Option<SocketAddr>>,
+    steer: Sender<steer::Message>,
+) -> Result<LeaseDuty, StartError> {
+    let (ring, receiver) = ring::bounded_async(settings.vm.ring);
+    let (stop, stopped) = oneshot::channel();
+    let deps = shares::thread::Dependencies {
+        context: context.clone(),
+        secret: secret.clone(),
+        leader,
+    };
+    let on_end = move |answer| {
+        // An answer that is lost counts as no answer after the timeout of the call.
+        let _ = steer.offer(steer::Message::LeaseAnswer(answer));
+    };
+    let thread = shares::thread::spawn(deps, receiver, on_end, stopped);
+    let name = "shares-calls";
+    Ok((ring, stop, thread.context(ThreadSnafu { name })?))
+}
+
+/// Ring of the duty that calls for tokens, the channel that ends it, and its thread.
+type LeaseDuty = (
+    AsyncSender<LeaseRequest>,
+    oneshot::Sender<()>,
+    JoinHandle<()>,
+);
+
 /// Starts the duty that finds requests which crash upstreams. Its charges go to any of the control VMs.
 fn start_poison(
     settings: &Settings,
@@ -317,6 +357,8 @@
     poison: Sender<poison::Message>,
     /// Control VMs, those of the local zone first.
     control: watch::Sender<Vec<SocketAddr>>,
+    /// Peer listener of the leader of the control VMs.
+    leader: watch::Sender<Option<SocketAddr>>,
 }
 
 /// Forwards what the catalogue's thread learns.
@@ -347,6 +389,7 @@
         beacon,
         poison,
         control: control_tx,
+        leader,
     } = followers;
     move |view| {
         let message = steer::Message::CatalogUpdate(Box::new(view.clone()));
@@ -358,6 +401,7 @@
         let (mut near, distant): (Vec<_>, Vec<_>) =
             view.control.iter().partition(|row| row.zone == zone);
         near.extend(distant);
+        leader.send_replace(view.leader);
         control_tx.send_replace(near.iter().map(|row| row.peers).collect());
         let rows = view.control.iter();
         let control = rows.map(|row| {
--- a/src/shares/hold.rs
+++ b/src/shares/hold.rs
@@ -232,9 +232,9 @@
         is_held
     }
 
-    /// Forgets a tenant that has been removed or has no limit any more.
-    pub fn remove(&mut self, key: TenantKey) {
-        self.tenants.remove(key);
+    /// Forgets the tenants for which `keep` is false: they have been removed or have no limit any more.
+    pub fn retain(&mut self, keep: impl Fn(TenantKey) -> bool) {
+        self.tenants.retain(|key, _| keep(key));
     }
 
     /// Time at which [`Self::next_call`] may have a call, if nothing else happens.
--- a/src/shares/tests/calls.rs
+++ b/src/shares/tests/calls.rs
@@ -13,7 +13,7 @@
     },
     jsonrpsee::RpcModule,
     std::{net::SocketAddr, sync::Arc, sync::mpsc, time::Duration},
-    tokio::sync::watch,
+    tokio::sync::{oneshot, watch},
 };
 
 const WAIT: Duration = Duration::from_secs(30);
@@ -75,10 +75,9 @@
         secret,
         leader: watch::channel(Some(listener.address)).1,
     };
-    thread::spawn(deps, calls_receiver, move |answer| {
-        answers.send(answer).unwrap();
-    })
-    .unwrap();
+    let (_stop, stopped) = oneshot::channel();
+    let on_end = move |answer| answers.send(answer).unwrap();
+    thread::spawn(deps, calls_receiver, on_end, stopped).unwrap();
     let ask = |sequence| {
         calls.offer(call("one", sequence, row(0, 0, 1))).unwrap();
         answers_rx.recv_timeout(WAIT).unwrap()
--- a/src/shares/tests/mod.rs
+++ b/src/shares/tests/mod.rs
@@ -212,7 +212,7 @@
     let request = hold.next_call(now).unwrap();
     hold.answered(&grant::lease(&mut grants, &request, now).unwrap(), now);
     assert!(hold.take_waiting(key, now).is_some());
-    hold.remove(key);
+    hold.retain(|other| other != key);
     hold.take(key, &name, now);
     let again = hold.next_call(now).unwrap();
     assert!(again.rows[0].spent > request.rows[0].spent);
--- a/src/shares/thread.rs
+++ b/src/shares/thread.rs
@@ -15,7 +15,7 @@
     },
     jsonrpsee::core::ClientError,
     std::{io, net::SocketAddr, rc::Rc, thread::JoinHandle, time::Duration},
-    tokio::sync::watch,
+    tokio::sync::{oneshot, watch},
 };
 
 /// Dependencies of the duty.
@@ -29,7 +29,7 @@
     pub leader: watch::Receiver<Option<SocketAddr>>,
 }
 
-/// Starts the duty, which exits when `receiver` closes. `on_end` gets the answer to each call, or `None` if there is
+/// Starts the duty, which exits when `receiver` or `stop` closes. `on_end` gets the answer to each call, or `None` if there is
 /// none; it must not block.
 ///
 /// # Errors
@@ -38,8 +38,11 @@
     deps: Dependencies,
     receiver: AsyncReceiver<LeaseRequest>,
     on_end: impl Fn(Option<LeaseResponse>) + Send + 'static,
+    stop: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
-    duty::spawn_local("shares-calls", move || run(deps, receiver, on_end))
+    duty::spawn_local("shares-calls", move || {
+        duty::run_until(stop, run(deps, receiver, on_end))
+    })
 }
 
 async fn run(
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        allotment,
         bodies::{self, Scan},
         identity, learn, place, pressure, split,
         state::{Effect, InFlight, State},
@@ -96,13 +97,14 @@
         tried: Vec::new(),
         retry_same: None,
         possible_runs: 0,
+        token: None,
     };
     if let Some(pool) = state.pools.get_mut(&service) {
         pool.budget.record_request(now);
     }
     init_local_share(state, &service);
     let key = state.in_flight.insert(in_flight);
-    place_or_enqueue(state, key, head.random, now);
+    allotment::start(state, key, head.random, now);
     Ok((key, name))
 }
 
@@ -120,7 +122,7 @@
 }
 
 /// Sends, queues or refuses a request.
-fn place_or_enqueue(state: &mut State, key: InFlightKey, random: u64, now: Micros) {
+pub(super) fn place_or_enqueue(state: &mut State, key: InFlightKey, random: u64, now: Micros) {
     if !has_waiting_ahead(state, key, now) && send(state, key, now) {
         return;
     }
@@ -251,6 +253,9 @@
     let Some(in_flight) = state.in_flight.remove(key) else {
         return;
     };
+    if ran == Ran::No {
+        allotment::give_back(state, &in_flight);
+    }
     let refusal = Refusal {
         reason,
         ran,
@@ -444,6 +449,7 @@
 
 /// Advances pacing windows and local shares, and scans the waiting requests.
 pub(super) fn tick(state: &mut State, random: u64, now: Micros) {
+    allotment::tick(state, random, now);
     let mut names: Vec<Arc<str>> = Vec::new();
     state.pools.retain(|name, pool| {
         pool.pacer.tick(random, now);
--- a/src/steer/messages.rs
+++ b/src/steer/messages.rs
@@ -6,6 +6,7 @@
         cancel::Cancel,
         catalog::follow::CatalogView,
         courier::Report,
+        shares::LeaseResponse,
         tenants::Credential,
     },
     std::sync::Arc,
@@ -47,6 +48,8 @@
     Request(Box<Request>),
     /// Report of an ended attempt.
     AttemptEnded(Box<Report>),
+    /// End of a call to the leader for tokens of limits: its answer, or `None`.
+    LeaseAnswer(Option<LeaseResponse>),
     /// A newer catalogue, or a change of the control or entry VMs.
     CatalogUpdate(Box<CatalogView>),
     /// Whether any control VM can be reached.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -3,6 +3,7 @@
 //! Each entry VM decides independently, from the catalogue, its local requests in flight and the load that
 //! upstreams report in their responses.
 
+mod allotment;
 mod bodies;
 mod budget;
 mod catalog;
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        allotment::Awaiting,
         bodies::Bodies,
         budget::{RetryBudget, SlackShare},
         fleet::RecentMax,
@@ -18,6 +19,7 @@
         courier::Load,
         keys::{InFlightKey, TenantKey, UpstreamKey},
         routes::Index,
+        shares::{Hold, LeaseRequest, Token},
         sorted::Sorted,
         tenants::{self, Credential},
     },
@@ -160,6 +162,8 @@
     pub(super) retry_same: Option<UpstreamKey>,
     /// Attempts that an upstream may have run.
     pub(super) possible_runs: u32,
+    /// Token that it has taken of its tenant's limit.
+    pub(super) token: Option<Token>,
 }
 
 impl InFlight {
@@ -199,6 +203,8 @@
     },
     /// Takes back an attempt that has not been sent yet: the caller's identity has changed.
     Revoke(InFlightKey),
+    /// Calls the leader of the control VMs for tokens of limits.
+    Lease(LeaseRequest),
     /// Delivers the response that has arrived.
     Deliver(InFlightKey),
     /// Refuses the request without an upstream's response.
@@ -269,6 +275,9 @@
     pub(super) connect_us: [f64; DISTANCES],
     /// What the responses of upstreams said about further requests.
     pub(super) pressure: backpressure::State,
+    /// Tokens of the limits of tenants, and the requests that wait for one, in order of arrival.
+    pub(super) hold: Hold,
+    pub(super) awaiting: Vec<Awaiting>,
     pub(super) effects: Vec<Effect>,
 }
 
@@ -305,6 +314,8 @@
             entry_vms: Sorted::default(),
             connect_us: [0.0; DISTANCES],
             pressure: backpressure::State::default(),
+            hold: Hold::new("", 0),
+            awaiting: Vec::new(),
             effects: Vec::new(),
         }
     }
--- a/src/steer/tests/load.rs
+++ b/src/steer/tests/load.rs
@@ -193,7 +193,7 @@
                     self.totals.refused += u32::from(counts);
                     self.totals.max_refusal_ms = self.totals.max_refusal_ms.max(ms);
                 }
-                Effect::Queued | Effect::Retry(_) | Effect::Revoke(_) => {}
+                Effect::Queued | Effect::Lease(_) | Effect::Retry(_) | Effect::Revoke(_) => {}
             }
         }
     }
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -1,3 +1,4 @@
+mod allotment;
 mod balance;
 mod bodies;
 mod budget;
@@ -125,6 +126,7 @@
             Effect::Refuse(_, refusal) => {
                 format!("refuse {} {:?}", refusal.reason.name(), refusal.ran)
             }
+            Effect::Lease(_) => "lease".to_owned(),
             Effect::Queued => "queued".to_owned(),
             Effect::Retry(reason) => format!("retry {}", reason.name()),
         };
--- a/src/steer/tests/thread.rs
+++ b/src/steer/tests/thread.rs
@@ -50,6 +50,7 @@
             zone: "a".to_owned(),
             zones: vec![("a".to_owned(), "r".to_owned())],
             courier: courier_tx,
+            leases: ring::bounded_async(16).0,
             monitor: Monitor {
                 verdicts: watch::channel(Arc::<Verdicts>::default()).1,
                 ring: poison,
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        catalog,
+        allotment, catalog,
         decide::{self, QUEUE_SCAN_MS, RequestHead},
         identity, learn,
         messages::{Message, Request},
@@ -21,6 +21,7 @@
         observe::{Event, report, report_with},
         poison::{Monitor, fingerprint},
         ring::{AsyncSender, Ring, Wait},
+        shares::{Hold, LeaseRequest},
     },
     slotmap::SecondaryMap,
     std::{io, sync::Arc, thread::JoinHandle, time::Duration},
@@ -42,6 +43,8 @@
     pub zones: Vec<(String, String)>,
     /// Ring to the courier duty, which makes the attempts.
     pub courier: AsyncSender<Dispatch>,
+    /// Ring to the duty that calls the leader of the control VMs for tokens of limits.
+    pub leases: AsyncSender<LeaseRequest>,
     /// Requests that are refused since they have crashed upstreams.
     pub monitor: Monitor,
 }
@@ -67,6 +70,7 @@
 struct Duty {
     context: Context,
     courier: AsyncSender<Dispatch>,
+    leases: AsyncSender<LeaseRequest>,
     monitor: Monitor,
     state: State,
     pending: SecondaryMap<InFlightKey, PendingRequest>,
@@ -83,10 +87,12 @@
     deps: Dependencies,
     ring: Ring<Message>,
 ) -> io::Result<JoinHandle<()>> {
-    let state = State::new(settings, &deps.zone, &deps.zones, deps.context.clock.now());
+    let mut state = State::new(settings, &deps.zone, &deps.zones, deps.context.clock.now());
+    state.hold = Hold::new(&deps.context.vm, deps.context.incarnation);
     let duty = Duty {
         context: deps.context,
         courier: deps.courier,
+        leases: deps.leases,
         monitor: deps.monitor,
         state,
         pending: SecondaryMap::default(),
@@ -104,6 +110,9 @@
             } else {
                 MAX_WAIT
             };
+            let now = self.context.clock.now();
+            let next = allotment::next_tick(&self.state, now).map(|next| next.since(now));
+            let wait = next.map_or(wait, |next| next.min(wait));
             match ring.recv_within(wait) {
                 Wait::Message(Message::Request(request)) => self.admit(*request),
                 Wait::Message(Message::AttemptEnded(report)) => self.finish_attempt(*report),
@@ -111,9 +120,14 @@
                     let now = self.context.clock.now();
                     if catalog::apply(&mut self.state, &followed, now) {
                         identity::refuse_changed(&mut self.state, rand::random(), now);
+                        allotment::apply_tenants(&mut self.state);
                     }
                     self.record_catalog(&followed.catalog);
                 }
+                Wait::Message(Message::LeaseAnswer(answer)) => {
+                    let now = self.context.clock.now();
+                    allotment::apply_answer(&mut self.state, answer.as_ref(), rand::random(), now);
+                }
                 Wait::Message(Message::ControlReachable(is_reachable)) => {
                     self.state.is_control_reachable = is_reachable;
                 }
@@ -355,6 +369,12 @@
                     pending.unrevoked = None;
                 }
             }
+            Effect::Lease(request) => {
+                if self.leases.offer(request).is_err() {
+                    report(Event::RING_FULL, format_args!("shares"));
+                    self.state.hold.failed(self.context.clock.now());
+                }
+            }
             Effect::Deliver(in_flight) => {
                 if let (Some(pending), Some(response)) =
                     (self.pending.remove(in_flight), response.take())
