Fill the buckets of limits with a part of the excess that a limit allows in each window

Cause: a limit allows rate x window + burst in every window, and its excess; the buckets gave the burst once and then the rate only. Change: two fifths of the excess are added in each window; the capacity is as before. A tenth of the excess stays unused.

--- a/src/shares/grant.rs
+++ b/src/shares/grant.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 struct Bucket {
     limit: Limit,
+    /// Rate at which the level rises, in thousandths of a token per second.
+    fill_rate: u64,
     /// Maximum of level and leased tokens.
     capacity: u64,
     level: u64,
@@ -69,7 +71,7 @@
 
     fn fill_to(&mut self, until: Micros, limit: u64) {
         let elapsed = until.0.saturating_sub(self.filled_at.0);
-        let gain = self.limit.rate.saturating_mul(elapsed);
+        let gain = self.fill_rate.saturating_mul(elapsed);
         let room = limit.saturating_sub(self.level.saturating_add(self.leased));
         self.level += gain.min(room);
         self.filled_at = self.filled_at.max(until);
@@ -85,7 +87,7 @@
     fn retry_ms(&self) -> u32 {
         let wanted = TOKEN.saturating_mul(self.unmet.max(1));
         let missing = wanted.saturating_sub(self.level);
-        let fill_ms = (missing / self.limit.rate.max(1)).div_ceil(1_000);
+        let fill_ms = (missing / self.fill_rate.max(1)).div_ceil(1_000);
         let retry_ms = if self.level >= TOKEN {
             LEASED_RETRY_MS
         } else {
@@ -176,12 +178,14 @@
     let mut kept = Sorted::default();
     for (name, limit) in limits {
         let capacity = grants.settings.capacity(limit).saturating_mul(THOUSANDTH);
+        let fill_rate = grants.settings.fill_rate(limit);
         let key = if let Some(key) = grants.names.remove(name) {
             fill(grants, key, now);
             key
         } else {
             grants.buckets.insert(Bucket {
                 limit,
+                fill_rate,
                 capacity,
                 level: 0,
                 leased: 0,
@@ -191,6 +195,7 @@
         };
         let bucket = &mut grants.buckets[key];
         bucket.limit = limit;
+        bucket.fill_rate = fill_rate;
         bucket.capacity = capacity;
         bucket.level = bucket.level.min(capacity.saturating_sub(bucket.leased));
         kept.insert(name.to_owned(), key);
