Order waiting requests by start-time fair queueing

Cause: requests waited for a service by rank and arrival, so the excess of one tenant delayed all others, and a tenant that filled the queue had the requests of others shed.

Change: src/fairness/ orders the waiting requests of a service by rank, start tag and arrival. A flow is a tenant, or a route for requests without one; without tenants in the configuration there is one flow. The queue functions of the steer duty move from decide.rs to queue.rs. If the queue is full, the last waiting request of the same service and rank is refused in place of a new one that would be sent before it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod claims;
 pub mod courier;
 pub mod drain;
+pub mod fairness;
 pub mod forward;
 pub mod ledger;
 pub mod lookup;
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -2,8 +2,7 @@
 
 use {
     super::{
-        bodies::{self, Scan},
-        identity, learn, place, pressure, split,
+        identity, learn, place, pressure, queue, split,
         state::{Effect, InFlight, State},
     },
     crate::{
@@ -83,6 +82,7 @@
         send_by: latest_send(&route, work_us, now).min(deadline),
         route,
         credential: head.credential,
+        flow: queue::flow(state, tenant, &name),
         tenant,
         rank,
         service: Arc::clone(&service),
@@ -121,28 +121,19 @@
 
 /// Sends, queues or refuses a request.
 fn place_or_enqueue(state: &mut State, key: InFlightKey, random: u64, now: Micros) {
-    if !has_waiting_ahead(state, key, now) && send(state, key, now) {
-        return;
+    if !queue::has_waiting_ahead(state, key, now) && send(state, key, now) {
+        return queue::record_direct(state, key);
+    }
+    if queue::refusal_reason(state, key, now) == Some(Reason::Shed) {
+        queue::make_room(state, key, random, now);
     }
-    match refusal_reason(state, key, now) {
+    match queue::refusal_reason(state, key, now) {
         Some(reason) => refuse(state, key, reason, Ran::No, random, now),
-        None => enqueue(state, key),
+        None => queue::enqueue(state, key),
     }
 }
 
-/// Whether a request of the same or a better rank already waits for the same service.
-fn has_waiting_ahead(state: &State, key: InFlightKey, now: Micros) -> bool {
-    let Some(in_flight) = state.in_flight.get(key) else {
-        return false;
-    };
-    let pool = state.pools.get(&in_flight.service);
-    let first = pool.and_then(|pool| pool.waiting.first());
-    let first = first.filter(|first| !bodies::is_held_back(state, **first, now));
-    let first = first.and_then(|first| state.in_flight.get(*first));
-    first.is_some_and(|first| first.rank <= in_flight.rank)
-}
-
-fn send(state: &mut State, key: InFlightKey, now: Micros) -> bool {
+pub(super) fn send(state: &mut State, key: InFlightKey, now: Micros) -> bool {
     place::rank_upstreams(state, key);
     let Some(in_flight) = state.in_flight.get(key) else {
         return false;
@@ -180,65 +171,6 @@
     true
 }
 
-/// Reason why a request cannot wait, if there is one.
-fn refusal_reason(state: &State, key: InFlightKey, now: Micros) -> Option<Reason> {
-    let in_flight = state.in_flight.get(key)?;
-    let Some(pool) = state.pools.get(&in_flight.service) else {
-        return Some(Reason::NoUpstream);
-    };
-    let members = pool.keys().filter_map(|key| state.upstreams.get(*key));
-    if !members.clone().any(|upstream| upstream.eligible) {
-        return Some(Reason::NoUpstream);
-    }
-    let rest_end = pressure::rest_end(state, pool, in_flight, now);
-    if rest_end.is_some_and(|end| end > in_flight.send_by) {
-        return Some(Reason::NoSlot);
-    }
-    let waiting: usize = state
-        .pools
-        .rows()
-        .iter()
-        .map(|row| row.1.waiting.len())
-        .sum();
-    if waiting >= state.settings.max_waiting {
-        return Some(Reason::Shed);
-    }
-    let rank = |key: &InFlightKey| state.in_flight.get(*key).map_or(0, |row| row.rank);
-    let ahead = pool
-        .waiting
-        .iter()
-        .filter(|other| rank(other) <= in_flight.rank)
-        .count();
-    #[allow(
-        clippy::cast_precision_loss,
-        reason = "queue lengths are far below 2^53"
-    )]
-    let wait_s = ahead as f64 / pool.completions.read(now).max(1.0);
-    (wait_s > in_flight.send_by.since(now).as_secs_f64()).then_some(Reason::NoSlot)
-}
-
-fn enqueue(state: &mut State, key: InFlightKey) {
-    let order = |key: &InFlightKey| {
-        let in_flight = state.in_flight.get(*key);
-        in_flight.map(|row| (row.rank, row.arrived))
-    };
-    let key_order = order(&key);
-    let Some(in_flight) = state.in_flight.get(key) else {
-        return;
-    };
-    let Some(pool) = state.pools.get(&in_flight.service) else {
-        return;
-    };
-    let index = pool
-        .waiting
-        .partition_point(|other| order(other) <= key_order);
-    let service = Arc::clone(&in_flight.service);
-    if let Some(pool) = state.pools.get_mut(&service) {
-        pool.waiting.insert(index, key);
-    }
-    state.effects.push(Effect::Queued);
-}
-
 /// Ends a request without an upstream's response.
 pub(super) fn refuse(
     state: &mut State,
@@ -345,7 +277,7 @@
             retry(state, key, reason, ran, random, now);
         }
     }
-    send_waiting(state, &service, random, now);
+    queue::send_waiting(state, &service, random, now);
 }
 
 /// Allows a second attempt at an upstream that refused despite free slots: such a refusal predicts little
@@ -401,43 +333,6 @@
     }
 }
 
-/// Sends the requests that wait for a service as far as slots are free, and refuses those past their latest
-/// time to send.
-fn send_waiting(state: &mut State, service: &Arc<str>, random: u64, now: Micros) {
-    let mut waiting = match state.pools.get_mut(service) {
-        Some(pool) if !pool.waiting.is_empty() => std::mem::take(&mut pool.waiting),
-        _ => return,
-    };
-    let mut scan = Scan::default();
-    waiting.retain(|key| {
-        let Some(in_flight) = state.in_flight.get(*key) else {
-            return false;
-        };
-        if now >= in_flight.send_by {
-            refuse(
-                state,
-                *key,
-                Reason::NoSlot,
-                Ran::No,
-                random ^ slotmap::Key::data(key).as_ffi(),
-                now,
-            );
-            return false;
-        }
-        if !scan.may_try(in_flight.body_bytes) {
-            return true;
-        }
-        let is_sent = send(state, *key, now);
-        if !is_sent {
-            scan.record_unsent(state, *key, now);
-        }
-        !is_sent
-    });
-    if let Some(pool) = state.pools.get_mut(service) {
-        pool.waiting = waiting;
-    }
-}
-
 pub(super) fn key_bits(key: InFlightKey) -> u64 {
     slotmap::Key::data(&key).as_ffi()
 }
@@ -454,7 +349,7 @@
         true
     });
     for name in names {
-        send_waiting(state, &name, random, now);
+        queue::send_waiting(state, &name, random, now);
     }
 }
 
@@ -469,21 +364,3 @@
         pool.locality.set_local_share(share);
     }
 }
-
-/// Whether any request waits, so that queues need scanning.
-pub(super) fn has_waiting(state: &State) -> bool {
-    state
-        .pools
-        .rows()
-        .iter()
-        .any(|row| !row.1.waiting.is_empty())
-}
-
-/// Removes a request whose caller disconnected while it waited.
-pub(super) fn discard(state: &mut State, key: InFlightKey) {
-    if let Some(in_flight) = state.in_flight.remove(key)
-        && let Some(pool) = state.pools.get_mut(&in_flight.service)
-    {
-        pool.waiting.retain(|other| *other != key);
-    }
-}
--- a/src/steer/identity.rs
+++ b/src/steer/identity.rs
@@ -9,6 +9,7 @@
         call::{Ran, Reason, Refusal},
         catalog::Route,
         clock::Micros,
+        fairness,
         keys::TenantKey,
         tenants::{self, Credential},
     },
@@ -74,7 +75,7 @@
         let service = state.in_flight.get(key).map(|row| Arc::clone(&row.service));
         let pool = service.and_then(|service| state.pools.get_mut(&service));
         if let Some(pool) = pool {
-            pool.waiting.retain(|other| *other != key);
+            fairness::withdraw(&mut pool.waiting, key);
         }
         decide::refuse(state, key, reason, Ran::No, random ^ key_bits(key), now);
     }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -15,6 +15,7 @@
 mod pacing;
 mod place;
 mod pressure;
+mod queue;
 pub mod settings;
 mod split;
 mod state;
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -16,6 +16,7 @@
         catalog::{Route, Service},
         clock::Micros,
         courier::Load,
+        fairness::{self, Flow},
         keys::{InFlightKey, TenantKey, UpstreamKey},
         routes::Index,
         sorted::Sorted,
@@ -88,8 +89,8 @@
     pub(super) most_slots: u32,
     /// Preferred upstreams of affinity keys.
     pub(super) rankings: Rankings<DISTANCES>,
-    /// Waiting requests, by rank and then by arrival.
-    pub(super) waiting: Vec<InFlightKey>,
+    /// Waiting requests.
+    pub(super) waiting: fairness::Queue,
     /// Moving averages of an upstream's work time in microseconds: for affinity keys that it recently served
     /// for this VM, and by distance and affinity rank for others, which it may have served for other VMs.
     pub(super) cached_us: f64,
@@ -136,6 +137,8 @@
     pub(super) credential: Credential,
     /// Tenant that it was admitted as.
     pub(super) tenant: Option<TenantKey>,
+    /// Flow that it belongs to while it waits.
+    pub(super) flow: Flow,
     /// Priority when capacity is scarce: the tenant's if it has one, otherwise the route's.
     pub(super) rank: u32,
     pub(super) service: Arc<str>,
--- a/src/steer/tests/rest.rs
+++ b/src/steer/tests/rest.rs
@@ -9,7 +9,7 @@
         clock::Micros,
         courier::Target,
         keys::InFlightKey,
-        steer::{decide, pressure, state::Effect},
+        steer::{decide, pressure, queue, state::Effect},
     },
 };
 
@@ -36,7 +36,7 @@
         let in_flight = self.admit("/one/x", key);
         let is_sent = self.effects().iter().any(|row| row.starts_with("send"));
         if !is_sent {
-            decide::discard(&mut self.state, in_flight);
+            queue::discard(&mut self.state, in_flight);
         }
         is_sent.then_some(in_flight)
     }
--- a/src/steer/tests/shares.rs
+++ b/src/steer/tests/shares.rs
@@ -9,7 +9,7 @@
         },
         catalog::Upstream,
         clock::Micros,
-        steer::decide,
+        steer::queue,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
 };
@@ -151,7 +151,7 @@
                 sent += 1;
                 world.respond(key);
             } else {
-                decide::discard(&mut world.state, key);
+                queue::discard(&mut world.state, key);
             }
             world.effects();
         }
--- a/src/steer/tests/slow_start.rs
+++ b/src/steer/tests/slow_start.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{NOW, World, at, ms},
-    crate::{catalog::Upstream, steer::decide},
+    crate::{catalog::Upstream, steer::queue},
 };
 
 /// Requests sent to `a1` within the two seconds after `start`, of one each 10 ms.
@@ -16,7 +16,7 @@
             sent += 1;
             world.respond(key);
         } else {
-            decide::discard(&mut world.state, key);
+            queue::discard(&mut world.state, key);
         }
         world.effects();
     }
@@ -97,7 +97,7 @@
             sent_at.push(now);
             world.respond(key);
         } else {
-            decide::discard(&mut world.state, key);
+            queue::discard(&mut world.state, key);
         }
         world.effects();
     }
--- a/src/steer/tests/tenants.rs
+++ b/src/steer/tests/tenants.rs
@@ -166,8 +166,8 @@
     let late = try_admit(&mut world, "/one/x", credential("b1")).unwrap();
     let early = try_admit(&mut world, "/again/x", credential("a1")).unwrap();
     world.effects();
-    let waiting = world.state.pools.get("s").map(|pool| pool.waiting.clone());
-    assert_eq!(waiting, Some(vec![early, late]));
+    let waiting = &world.state.pools.get("s").unwrap().waiting;
+    assert!(waiting.keys().eq([early, late]));
     world.now = ms(300);
     decide::tick(&mut world.state, 7, world.now);
     assert_eq!(tenants_sent(&mut world), ["as acme", "as bolt"]);
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -6,7 +6,7 @@
         decide::{self, QUEUE_SCAN_MS, RequestHead},
         identity, learn,
         messages::{Message, Request},
-        pressure,
+        pressure, queue,
         settings::Settings,
         state::{Effect, State},
     },
@@ -99,7 +99,7 @@
     fn run(mut self, ring: &Ring<Message>) {
         let scan = Duration::from_millis(QUEUE_SCAN_MS);
         loop {
-            let wait = if decide::has_waiting(&self.state) {
+            let wait = if queue::has_waiting(&self.state) {
                 scan
             } else {
                 MAX_WAIT
@@ -371,7 +371,7 @@
     /// Ends a request whose caller disconnected before it was sent.
     fn cancel(&mut self, in_flight: InFlightKey) {
         self.fail_unsent(in_flight, Reason::Cancelled);
-        decide::discard(&mut self.state, in_flight);
+        queue::discard(&mut self.state, in_flight);
         self.pending.remove(in_flight);
     }
 
