Let tenants with no room in their regions block only themselves

Cause: a waiting request that may only be sent to some regions, and found no slot there, kept all requests behind it and all new ones from free slots elsewhere. steer::tests::fairness:: a_tenant_without_room_in_its_region_does_not_block_others failed with "Queued" in place of "as bolt".

Change: with tenants in the configuration such a request blocks its own flow only; without, it blocks all behind it as before.

--- a/src/steer/queue.rs
+++ b/src/steer/queue.rs
@@ -5,7 +5,7 @@
         bodies::{self, Scan},
         decide::{key_bits, refuse, send},
         pressure,
-        state::{Effect, State},
+        state::{Effect, InFlight, State},
     },
     crate::{
         call::{Ran, Reason},
@@ -34,8 +34,22 @@
         return false;
     };
     let first = pool.waiting.keys().next();
-    first.is_some_and(|first| !bodies::is_held_back(state, first, now))
-        && fairness::count_ahead(&pool.waiting, in_flight.rank, &in_flight.flow) > 0
+    if first.is_some_and(|first| bodies::is_held_back(state, first, now)) {
+        return false;
+    }
+    let ahead = fairness::count_ahead(&pool.waiting, in_flight.rank, &in_flight.flow);
+    let blocks = |other: &InFlight| other.flow == in_flight.flow || !is_confined(state, other);
+    let mut ahead = pool.waiting.keys().take(ahead);
+    ahead.any(|other| state.in_flight.get(other).is_some_and(blocks))
+}
+
+/// Whether a request may only be sent to some regions, so that others may find free slots while it does not. Without
+/// tenants in the configuration all requests count alike.
+fn is_confined(state: &State, in_flight: &InFlight) -> bool {
+    let tenant = in_flight.tenant.and_then(|key| state.tenants.get(key));
+    let has_homes =
+        !in_flight.route.homes.is_empty() || tenant.is_some_and(|tenant| !tenant.homes.is_empty());
+    in_flight.flow != Flow::All && has_homes
 }
 
 /// Records that a request was sent without waiting.
@@ -120,6 +134,8 @@
         _ => return,
     };
     let mut tries = Scan::default();
+    // Flows of which a request that may only be sent to some regions found no free slot. Each costs one selection.
+    let mut blocked: Vec<Flow> = Vec::new();
     fairness::scan(&mut waiting, |key| {
         let Some(in_flight) = state.in_flight.get(key) else {
             return Outcome::Ended;
@@ -129,13 +145,16 @@
             refuse(state, key, Reason::NoSlot, Ran::No, random, now);
             return Outcome::Ended;
         }
-        if !tries.may_try(in_flight.body_bytes) {
+        if !tries.may_try(in_flight.body_bytes) || blocked.contains(&in_flight.flow) {
             return Outcome::Waits;
         }
         if send(state, key, now) {
             return Outcome::Sent;
         }
-        tries.record_unsent(state, key, now);
+        match state.in_flight.get(key) {
+            Some(row) if is_confined(state, row) => blocked.push(row.flow.clone()),
+            _ => tries.record_unsent(state, key, now),
+        }
         Outcome::Waits
     });
     if let Some(pool) = state.pools.get_mut(service) {
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -1,6 +1,7 @@
 mod balance;
 mod bodies;
 mod budget;
+mod fairness;
 mod leaving;
 mod load;
 mod locality;
--- a/src/steer/tests/tenants.rs
+++ b/src/steer/tests/tenants.rs
@@ -18,7 +18,7 @@
 };
 
 /// A fleet with the tenants `acme` and `bolt`, whose keys are `a1` and `b1`, and a public route.
-fn world() -> World {
+pub(super) fn world() -> World {
     let mut world = World::new(&[("a1", at("a", 1)), ("c1", at("c", 2))]);
     world.state.is_control_reachable = true;
     let mut public = route("h", "/public/");
@@ -48,7 +48,7 @@
     world.apply_catalog();
 }
 
-fn try_admit(
+pub(super) fn try_admit(
     world: &mut World,
     path: &str,
     credential: Credential,
@@ -72,7 +72,7 @@
 }
 
 /// Makes the only upstream of the region back off, so that requests wait for it.
-fn block(world: &mut World) {
+pub(super) fn block(world: &mut World) {
     world.catalog.upstreams.remove("c1", 3);
     world.apply_catalog();
     let key = try_admit(world, "/one/x", credential("b1")).unwrap();
@@ -81,7 +81,7 @@
 }
 
 /// Names of the tenants with which requests are sent, and all other effects.
-fn tenants_sent(world: &mut World) -> Vec<String> {
+pub(super) fn tenants_sent(world: &mut World) -> Vec<String> {
     let describe = |effect: &Effect| match effect {
         Effect::Send { tenant, .. } => format!("as {}", tenant.as_deref().unwrap_or("nobody")),
         Effect::Refuse(_, refusal) => format!("{} {:?}", refusal.reason.name(), refusal.ran),
