--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -2,6 +2,7 @@
 mod balance;
 mod bodies;
 mod budget;
+mod fairness;
 mod leaving;
 mod load;
 mod locality;
