--- a/benches/tenants.rs
+++ b/benches/workspaces.rs
@@ -2,8 +2,8 @@
 
 use {
     siskinstep::{
-        catalog::{Table, Tenant},
-        tenants::{self, Credential, Digest, Index},
+        catalog::{Table, Workspace},
+        workspaces::{self, Credential, Digest, Index},
     },
     std::{
         hint::black_box,
@@ -11,17 +11,17 @@
     },
 };
 
-/// Keys of one tenant.
-const KEYS_PER_TENANT: usize = 100;
+/// Keys of one workspace.
+const KEYS_PER_WORKSPACE: usize = 100;
 /// Look-ups in one run.
 const LOOK_UPS: u32 = 2_000_000;
 const RUNS: usize = 5;
 
-fn tenant(number: usize) -> Tenant {
-    let range = number * KEYS_PER_TENANT..(number + 1) * KEYS_PER_TENANT;
+fn workspace(number: usize) -> Workspace {
+    let range = number * KEYS_PER_WORKSPACE..(number + 1) * KEYS_PER_WORKSPACE;
     let mut keys: Vec<Digest> = range.map(digest).collect();
     keys.sort_unstable();
-    Tenant {
+    Workspace {
         keys,
         rank: None,
         rate: 0,
@@ -39,7 +39,7 @@
 fn measure(index: &Index, credentials: &[Credential]) -> f64 {
     let started = Instant::now();
     for (credential, _) in credentials.iter().cycle().zip(0..LOOK_UPS) {
-        let identity = tenants::identify(index, false, *black_box(credential), true);
+        let identity = workspaces::identify(index, false, *black_box(credential), true);
         let _ = black_box(identity);
     }
     started.elapsed().as_secs_f64() * 1e9 / f64::from(LOOK_UPS)
@@ -48,8 +48,8 @@
 fn main() {
     for count in [100, 10_000, 1_000_000] {
         let mut table = Table::default();
-        for number in 0..count / KEYS_PER_TENANT {
-            table.put(&format!("tenant-{number:06}"), tenant(number), 1);
+        for number in 0..count / KEYS_PER_WORKSPACE {
+            table.put(&format!("workspace-{number:06}"), workspace(number), 1);
         }
         let mut index = Index::default();
         let started = Instant::now();
--- a/src/call.rs
+++ b/src/call.rs
@@ -92,11 +92,11 @@
     /// The caller's credential is missing, malformed or unknown.
     Unauthorized,
     /// The caller's API key is not known to this VM, but may be valid: the key may be newer than this VM's
-    /// configuration, or it has just moved to another tenant.
+    /// configuration, or it has just moved to another workspace.
     IdentityUnknown,
-    /// The tenant has used up its limit.
+    /// The workspace has used up its limit.
     OverLimit,
-    /// No control VM said whether the tenant's limit permits the request.
+    /// No control VM said whether the workspace's limit permits the request.
     LimitUnknown,
     /// The upstream has restricted further requests since it was selected; the request was not sent to it.
     UpstreamHeld,
--- a/src/catalog/configure.rs
+++ b/src/catalog/configure.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        messages::{ChangeId, Configuration, Edit, Limits, Route, Service, Tenant},
+        messages::{ChangeId, Configuration, Edit, Limits, Route, Service, Workspace},
         state::{Catalog, LIMITS_ROW, MAX_ACCEPTED},
         table::{Row, Table},
     },
-    crate::{policy::Rejection, tenants::Digest},
+    crate::{policy::Rejection, workspaces::Digest},
 };
 
 /// Applies `edit` to the configuration. `versions` contains the base version and the new version.
@@ -42,9 +42,9 @@
     let revision = catalog.revision + 1;
     replace_rows(&mut catalog.routes, next.routes, revision);
     replace_rows(&mut catalog.services, next.services, revision);
-    catalog.has_tenants = next.tenants.is_some();
-    let tenants = next.tenants.unwrap_or_default();
-    replace_rows(&mut catalog.tenants, tenants, revision);
+    catalog.has_workspaces = next.workspaces.is_some();
+    let workspaces = next.workspaces.unwrap_or_default();
+    replace_rows(&mut catalog.workspaces, workspaces, revision);
     let limits: Vec<(String, Limits)> = next
         .limits
         .map(|row| (LIMITS_ROW.to_owned(), row))
@@ -70,8 +70,8 @@
         Edit::Replace(mut next) => {
             next.routes.sort_by(|a, b| a.0.cmp(&b.0));
             next.services.sort_by(|a, b| a.0.cmp(&b.0));
-            if let Some(tenants) = &mut next.tenants {
-                tenants.sort_by(|a, b| a.0.cmp(&b.0));
+            if let Some(workspaces) = &mut next.workspaces {
+                workspaces.sort_by(|a, b| a.0.cmp(&b.0));
             }
             next
         }
@@ -79,16 +79,16 @@
             put,
             routes,
             services,
-            tenants,
+            workspaces,
         } => Configuration {
             routes: merged(pairs(catalog.routes.rows()), put.routes, &routes),
             services: merged(pairs(catalog.services.rows()), put.services, &services),
             limits: put.limits.or_else(|| catalog.bounds().cloned()),
-            tenants: {
-                let has_tenants = catalog.has_tenants || put.tenants.is_some();
-                let rows = pairs(catalog.tenants.rows());
-                let put = put.tenants.unwrap_or_default();
-                has_tenants.then(|| merged(rows, put, &tenants))
+            workspaces: {
+                let has_workspaces = catalog.has_workspaces || put.workspaces.is_some();
+                let rows = pairs(catalog.workspaces.rows());
+                let put = put.workspaces.unwrap_or_default();
+                has_workspaces.then(|| merged(rows, put, &workspaces))
             },
         },
     }
@@ -135,9 +135,9 @@
     let mut findings = Vec::new();
     find_duplicates("service", &next.services, &mut findings);
     find_duplicates("route", &next.routes, &mut findings);
-    if let Some(tenants) = &next.tenants {
-        find_duplicates("tenant", tenants, &mut findings);
-        find_shared_keys(tenants, &mut findings);
+    if let Some(workspaces) = &next.workspaces {
+        find_duplicates("workspace", workspaces, &mut findings);
+        find_shared_keys(workspaces, &mut findings);
     }
     for (name, route) in &next.routes {
         let mut add = |text: String| findings.push(format!("route {name}: {text}"));
@@ -166,19 +166,19 @@
     }
 }
 
-/// Adds a finding for each pair of tenants that share an API key, without the key.
-fn find_shared_keys(tenants: &[(String, Tenant)], findings: &mut Vec<String>) {
-    let keys_of = |row: &(String, Tenant)| -> Vec<(Digest, String)> {
+/// Adds a finding for each pair of workspaces that share an API key, without the key.
+fn find_shared_keys(workspaces: &[(String, Workspace)], findings: &mut Vec<String>) {
+    let keys_of = |row: &(String, Workspace)| -> Vec<(Digest, String)> {
         let keys = row.1.keys.iter();
         keys.map(|key| (*key, row.0.clone())).collect()
     };
-    let mut owners: Vec<(Digest, String)> = tenants.iter().flat_map(keys_of).collect();
+    let mut owners: Vec<(Digest, String)> = workspaces.iter().flat_map(keys_of).collect();
     owners.sort_unstable();
     for pair in owners.windows(2) {
         let (first, second) = (&pair[0], &pair[1]);
         if first.0 == second.0 && first.1 != second.1 {
             findings.push(format!(
-                "tenants {} and {}: share an API key",
+                "workspaces {} and {}: share an API key",
                 first.1, second.1
             ));
         }
--- a/src/catalog/messages.rs
+++ b/src/catalog/messages.rs
@@ -1,7 +1,7 @@
 //! Rows of the catalogue, and the orders that change it.
 
 use {
-    crate::{ledger::Fingerprint, poison::Charge, tenants::Digest},
+    crate::{ledger::Fingerprint, poison::Charge, workspaces::Digest},
     serde::{Deserialize, Serialize},
     std::{
         fmt::{self, Debug, Formatter},
@@ -65,7 +65,7 @@
     pub attempts: u32,
     /// Whether requests with the same affinity key go to the same upstream.
     pub affinity: bool,
-    /// Whether callers need no API key, also if the configuration has tenants.
+    /// Whether callers need no API key, also if the configuration has workspaces.
     #[serde(default)]
     pub public: bool,
     /// Names of the regions that may serve requests; empty for all regions.
@@ -90,9 +90,9 @@
     pub source: String,
 }
 
-/// A tenant: callers that share API keys, limits and regions.
+/// A workspace: callers that share API keys, limits and regions.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tenant {
+pub struct Workspace {
     /// Digests of its API keys, in ascending order.
     pub keys: Vec<Digest>,
     /// Priority when capacity is scarce, in place of the routes'; `None` to use theirs.
@@ -107,10 +107,10 @@
     pub source: String,
 }
 
-impl Debug for Tenant {
+impl Debug for Workspace {
     /// Omits `source`, so that no log line contains an API key.
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Tenant")
+        f.debug_struct("Workspace")
             .field("keys", &self.keys.len())
             .field("rank", &self.rank)
             .field("rate", &self.rate)
@@ -138,9 +138,9 @@
     pub services: Vec<(String, Service)>,
     /// Limits on callers, if configured.
     pub limits: Option<Limits>,
-    /// Tenants by name; `None` if callers need no API key.
+    /// Workspaces by name; `None` if callers need no API key.
     #[serde(default)]
-    pub tenants: Option<Vec<(String, Tenant)>>,
+    pub workspaces: Option<Vec<(String, Workspace)>>,
 }
 
 /// Content of a configuration change.
@@ -157,9 +157,9 @@
         routes: Vec<String>,
         /// Names of the services to remove.
         services: Vec<String>,
-        /// Names of the tenants to remove.
+        /// Names of the workspaces to remove.
         #[serde(default)]
-        tenants: Vec<String>,
+        workspaces: Vec<String>,
     },
 }
 
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -25,8 +25,8 @@
 pub use {
     decide::apply,
     messages::{
-        ChangeId, Configuration, Edit, Idempotency, Limits, Order, Route, Service, Tenant,
-        Upstream, WeightedService,
+        ChangeId, Configuration, Edit, Idempotency, Limits, Order, Route, Service, Upstream,
+        WeightedService, Workspace,
     },
     settings::Settings,
     state::{Catalog, Delta},
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        messages::{ChangeId, Limits, Route, Service, Tenant, Upstream},
+        messages::{ChangeId, Limits, Route, Service, Upstream, Workspace},
         table::{Patch, Table},
     },
     crate::poison::Process,
@@ -37,12 +37,12 @@
     /// Lost processes of upstreams by the fingerprint of the request that was running on them.
     #[serde(default)]
     pub charges: Table<Vec<Process>>,
-    /// Whether callers need an API key. Stays so if the last tenant is removed by name.
+    /// Whether callers need an API key. Stays so if the last workspace is removed by name.
     #[serde(default)]
-    pub has_tenants: bool,
-    /// Tenants by name.
+    pub has_workspaces: bool,
+    /// Workspaces by name.
     #[serde(default)]
-    pub tenants: Table<Tenant>,
+    pub workspaces: Table<Workspace>,
     /// Accepted configuration changes, oldest first.
     pub(super) accepted: Vec<ChangeId>,
     /// Name and incarnation of deregistered upstreams, oldest first.
@@ -75,10 +75,10 @@
     pub charges: Patch<Vec<Process>>,
     /// Whether callers need an API key.
     #[serde(default)]
-    pub has_tenants: bool,
-    /// Changes of tenants.
+    pub has_workspaces: bool,
+    /// Changes of workspaces.
     #[serde(default)]
-    pub tenants: Patch<Tenant>,
+    pub workspaces: Patch<Workspace>,
 }
 
 impl Delta {
@@ -93,7 +93,7 @@
         for row in &mut self.limits.rows {
             row.value.source = String::new();
         }
-        for row in &mut self.tenants.rows {
+        for row in &mut self.workspaces.rows {
             row.value.source = String::new();
         }
     }
@@ -144,7 +144,7 @@
             .chain(self.emptied.revisions(since))
             .chain(self.upstreams.revisions(since))
             .chain(self.charges.revisions(since))
-            .chain(self.tenants.revisions(since))
+            .chain(self.workspaces.revisions(since))
             .collect();
         if revisions.len() <= max_rows {
             return self.since(since);
@@ -160,7 +160,7 @@
             self.emptied.floor(),
             self.upstreams.floor(),
             self.charges.floor(),
-            self.tenants.floor(),
+            self.workspaces.floor(),
         ];
         let until = floors.into_iter().fold(until, u64::max);
         self.between(since, until)
@@ -177,8 +177,8 @@
             emptied: self.emptied.between(since, until),
             upstreams: self.upstreams.between(since, until),
             charges: self.charges.between(since, until),
-            has_tenants: self.has_tenants,
-            tenants: self.tenants.between(since, until),
+            has_workspaces: self.has_workspaces,
+            workspaces: self.workspaces.between(since, until),
         }
     }
 
@@ -203,8 +203,8 @@
         self.emptied.merge(delta.emptied, since, until);
         self.upstreams.merge(delta.upstreams, since, until);
         self.charges.merge(delta.charges, since, until);
-        self.has_tenants = delta.has_tenants;
-        self.tenants.merge(delta.tenants, since, until);
+        self.has_workspaces = delta.has_workspaces;
+        self.workspaces.merge(delta.workspaces, since, until);
         true
     }
 }
--- a/src/catalog/tests/mod.rs
+++ b/src/catalog/tests/mod.rs
@@ -57,7 +57,7 @@
             .collect(),
         services: vec![("s".to_owned(), service())],
         limits: Some(Limits::default()),
-        tenants: None,
+        workspaces: None,
     }
 }
 
@@ -147,7 +147,7 @@
             put,
             routes: vec!["x".to_owned()],
             services: Vec::new(),
-            tenants: Vec::new(),
+            workspaces: Vec::new(),
         },
     };
     apply(&mut catalog, order).unwrap();
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -58,7 +58,7 @@
     pub agree: agree::Settings,
     /// Time without a report after which a self-reporting upstream is removed, in milliseconds.
     pub silent_ms: u64,
-    /// Excess over the limits of tenants that is allowed.
+    /// Excess over the limits of workspaces that is allowed.
     pub shares: shares::Settings,
     /// Name and addresses by which the other control VMs identify and reach this one, for a VM that
     /// need not be in `agree.members`.
--- a/src/courier/messages.rs
+++ b/src/courier/messages.rs
@@ -32,9 +32,9 @@
 pub struct Caller {
     /// Whether callers need an API key. If so, upstreams must learn the caller's identity only from this system.
     pub is_checked: bool,
-    /// Name of the caller's tenant.
-    pub tenant: Option<Arc<str>>,
-    /// Signals that the caller is no longer identified as that tenant. An attempt that has been sent continues.
+    /// Name of the caller's workspace.
+    pub workspace: Option<Arc<str>>,
+    /// Signals that the caller is no longer identified as that workspace. An attempt that has been sent continues.
     pub revoked: Option<Cancel>,
 }
 
--- a/src/courier/tests/mod.rs
+++ b/src/courier/tests/mod.rs
@@ -419,7 +419,7 @@
     let (identified, revoked) = cancel::channel();
     let caller = Caller {
         is_checked: true,
-        tenant: None,
+        workspace: None,
         revoked: Some(revoked),
     };
     let _guard = world.send_from(address, payload(), BUDGET_MS, caller.clone());
--- a/src/fairness/state.rs
+++ b/src/fairness/state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         clock::Micros,
-        keys::{InFlightKey, TenantKey},
+        keys::{InFlightKey, WorkspaceKey},
         sorted::Sorted,
     },
     std::sync::Arc,
@@ -12,11 +12,11 @@
 /// Requests that share one part of the free slots.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Flow {
-    /// All requests of a configuration without tenants.
+    /// All requests of a configuration without workspaces.
     All,
-    /// Requests of a tenant.
-    Tenant(TenantKey),
-    /// Requests without a tenant, by the name of their route.
+    /// Requests of a workspace.
+    Workspace(WorkspaceKey),
+    /// Requests without a workspace, by the name of their route.
     Route(Arc<str>),
 }
 
--- a/src/fairness/tests.rs
+++ b/src/fairness/tests.rs
@@ -21,63 +21,63 @@
 struct Rig {
     order: Order,
     queue: Queue,
-    /// Tenant and tick of the arrival of each waiting request.
+    /// Workspace and tick of the arrival of each waiting request.
     requests: SlotMap<InFlightKey, (usize, u64)>,
     now: u64,
     /// Ticks after which a waiting request ends.
     timeout: u64,
-    /// Requests sent and longest wait in ticks, by tenant.
+    /// Requests sent and longest wait in ticks, by workspace.
     sent: Vec<usize>,
     longest: Vec<u64>,
 }
 
-fn name(tenant: usize) -> Flow {
-    Flow::Route(format!("{tenant}").into())
+fn name(workspace: usize) -> Flow {
+    Flow::Route(format!("{workspace}").into())
 }
 
 impl Rig {
-    fn new(order: Order, tenants: usize) -> Self {
+    fn new(order: Order, workspaces: usize) -> Self {
         Self {
             order,
             queue: Queue::default(),
             requests: SlotMap::default(),
             now: 0,
             timeout: u64::MAX,
-            sent: vec![0; tenants],
-            longest: vec![0; tenants],
+            sent: vec![0; workspaces],
+            longest: vec![0; workspaces],
         }
     }
 
-    fn flow(&self, tenant: usize) -> Flow {
+    fn flow(&self, workspace: usize) -> Flow {
         match self.order {
-            Order::Fair => name(tenant),
+            Order::Fair => name(workspace),
             Order::FirstCome => Flow::All,
         }
     }
 
-    fn arrive(&mut self, tenant: usize) {
-        let flow = self.flow(tenant);
+    fn arrive(&mut self, workspace: usize) {
+        let flow = self.flow(workspace);
         if self.queue.len() == MAX_WAITING {
             let Some(last) = last_behind(&self.queue, 0, &flow) else {
                 return;
             };
             withdraw(&mut self.queue, last);
         }
-        let key = self.requests.insert((tenant, self.now));
+        let key = self.requests.insert((workspace, self.now));
         push(&mut self.queue, key, 0, flow, Micros(self.now));
     }
 
-    /// Sends one request, if any waits, and returns its tenant.
+    /// Sends one request, if any waits, and returns its workspace.
     fn tick(&mut self) -> Option<usize> {
         self.now += 1;
         let mut sent = None;
         let (requests, now, timeout) = (&self.requests, self.now, self.timeout);
         scan(&mut self.queue, |key| {
-            let (tenant, arrived) = requests[key];
+            let (workspace, arrived) = requests[key];
             if now - arrived > timeout {
                 Outcome::Ended
             } else if sent.is_none() {
-                sent = Some((tenant, now - arrived));
+                sent = Some((workspace, now - arrived));
                 Outcome::Sent
             } else {
                 Outcome::Waits
@@ -88,10 +88,10 @@
             "idle while requests wait"
         );
         assert_bounded(&self.queue);
-        let (tenant, wait) = sent?;
-        self.sent[tenant] += 1;
-        self.longest[tenant] = self.longest[tenant].max(wait);
-        Some(tenant)
+        let (workspace, wait) = sent?;
+        self.sent[workspace] += 1;
+        self.longest[workspace] = self.longest[workspace].max(wait);
+        Some(workspace)
     }
 }
 
@@ -103,7 +103,7 @@
     }
 }
 
-/// Ten tenants use 10/16 of the service together; the first one then sends eight times as much, 17/16 in all.
+/// Ten workspaces use 10/16 of the service together; the first one then sends eight times as much, 17/16 in all.
 fn eight_times(order: Order) -> Rig {
     let mut rig = Rig::new(order, 10);
     // The slot is in use from the start.
@@ -111,10 +111,10 @@
         rig.arrive(0);
     }
     for tick in 0..8_000 {
-        for tenant in 0..10 {
-            let interval = if tenant == 0 { 2 } else { 16 };
-            if (tick + tenant) % interval == 0 {
-                rig.arrive(tenant);
+        for workspace in 0..10 {
+            let interval = if workspace == 0 { 2 } else { 16 };
+            if (tick + workspace) % interval == 0 {
+                rig.arrive(workspace);
             }
         }
         rig.tick();
@@ -122,10 +122,10 @@
     rig
 }
 
-/// Guards against a tenant whose excess delays the requests of others. A small tenant has one request at a time, and
+/// Guards against a workspace whose excess delays the requests of others. A small workspace has one request at a time, and
 /// each other one is sent at most one before it.
 #[test]
-fn a_tenant_that_sends_eight_times_its_usual_rate_delays_its_own_requests() {
+fn a_workspace_that_sends_eight_times_its_usual_rate_delays_its_own_requests() {
     let fair = eight_times(Order::Fair);
     assert!(fair.longest[1..].iter().all(|wait| *wait <= 10));
     assert!(fair.longest[0] > 400);
@@ -136,20 +136,20 @@
     assert!(baseline.longest.iter().all(|wait| *wait > 400));
 }
 
-/// Guards against a tenant that gets more by repeating at once whatever was sent, with many requests or with one: the
+/// Guards against a workspace that gets more by repeating at once whatever was sent, with many requests or with one: the
 /// one that is forgotten at the tag at which it was just sent would be sent again and again at that tag.
 #[test]
 fn immediate_repeats_gain_nothing() {
     let run = |order, repeated: usize, others: usize| {
         let mut rig = Rig::new(order, 10);
-        for tenant in 0..10 {
-            for _ in 0..if tenant == 0 { repeated } else { others } {
-                rig.arrive(tenant);
+        for workspace in 0..10 {
+            for _ in 0..if workspace == 0 { repeated } else { others } {
+                rig.arrive(workspace);
             }
         }
         for _ in 0..1_000 {
-            if let Some(tenant) = rig.tick() {
-                rig.arrive(tenant);
+            if let Some(workspace) = rig.tick() {
+                rig.arrive(workspace);
             }
         }
         rig.sent
@@ -163,17 +163,17 @@
     assert!(sent[0] > 840 && sent[1] <= 17, "{sent:?}");
 }
 
-/// Guards against state for each tenant that ever sent a request, and against new tenants without end that keep a
+/// Guards against state for each workspace that ever sent a request, and against new workspaces without end that keep a
 /// waiting one from its next tag.
 #[test]
-fn thousands_of_tenants_leave_no_state_and_starve_none() {
+fn thousands_of_workspaces_leave_no_state_and_starve_none() {
     let run = |order| {
         let mut rig = Rig::new(order, 5_001);
         for _ in 0..100 {
             rig.arrive(0);
         }
-        for tenant in 1..=5_000 {
-            rig.arrive(tenant);
+        for workspace in 1..=5_000 {
+            rig.arrive(workspace);
             if rig.tick() == Some(0) {
                 rig.arrive(0);
             }
@@ -190,36 +190,36 @@
     assert!(waits(&fair) < waits(&run(Order::FirstCome)) / 4);
 }
 
-/// Tenants that send 1 to 128 requests per 100 ticks, 255 in all, which time out after 300 ticks.
+/// Workspaces that send 1 to 128 requests per 100 ticks, 255 in all, which time out after 300 ticks.
 fn overloaded(order: Order) -> Vec<usize> {
     let mut rig = Rig::new(order, 8);
     rig.timeout = 300;
     let mut random = StdRng::seed_from_u64(1);
     let mut arrivals = Vec::new();
     for tick in 0..10_000_u64 {
-        for tenant in 0..8 {
-            let per_100 = 1_u64 << tenant;
+        for workspace in 0..8 {
+            let per_100 = 1_u64 << workspace;
             let count = (tick + 1) * per_100 / 100 - tick * per_100 / 100;
-            arrivals.extend((0..count).map(|_| tenant));
+            arrivals.extend((0..count).map(|_| workspace));
         }
         arrivals.shuffle(&mut random);
-        for tenant in arrivals.drain(..) {
-            rig.arrive(tenant);
+        for workspace in arrivals.drain(..) {
+            rig.arrive(workspace);
         }
         rig.tick();
     }
     rig.sent
 }
 
-/// Guards against tenants that are served less than a quarter as often as all, though they ask for it: when requests
+/// Guards against workspaces that are served less than a quarter as often as all, though they ask for it: when requests
 /// time out, when the queue is full, and against tags that a flow pays for requests that were never sent.
 #[test]
-fn no_tenant_is_served_less_than_a_quarter_as_often_as_all() {
+fn no_workspace_is_served_less_than_a_quarter_as_often_as_all() {
     let sent = overloaded(Order::Fair);
     // By max-min, those up to 16 per 100 ticks get what they ask for, and the other three 23 each.
-    for (tenant, sent) in sent.iter().enumerate() {
-        let share = 100 * (1_usize << tenant).min(23);
-        assert!(sent.abs_diff(share) * 20 <= share, "{tenant}: {sent}");
+    for (workspace, sent) in sent.iter().enumerate() {
+        let share = 100 * (1_usize << workspace).min(23);
+        assert!(sent.abs_diff(share) * 20 <= share, "{workspace}: {sent}");
     }
     let sent = overloaded(Order::FirstCome);
     // Each gets 100/255 of what it asks for, also the fifth, which by max-min gets all of that.
@@ -227,7 +227,7 @@
     assert!(sent[7] > 100 * 45, "{sent:?}");
 }
 
-/// Guards against another order than by rank and arrival in deployments without tenants, also for a request that is
+/// Guards against another order than by rank and arrival in deployments without workspaces, also for a request that is
 /// added after later ones.
 #[test]
 fn one_flow_is_ordered_by_rank_and_arrival() {
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -49,8 +49,8 @@
     pub struct UpstreamKey;
     /// Key of a request in flight.
     pub struct InFlightKey;
-    /// Key of a tenant.
-    pub struct TenantKey;
+    /// Key of a workspace.
+    pub struct WorkspaceKey;
     /// Key of a shift.
     pub struct ShiftKey;
     /// Key of a request queued for a slot.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,7 +40,7 @@
 pub mod slots;
 pub mod spread;
 pub mod steer;
-pub mod tenants;
+pub mod workspaces;
 
 // Duties of entry VMs and control VMs together.
 pub mod shares;
--- a/src/shares/grant.rs
+++ b/src/shares/grant.rs
@@ -1,7 +1,7 @@
-//! Decisions of the leader: how many tokens of each tenant an entry VM gets.
+//! Decisions of the leader: how many tokens of each workspace an entry VM gets.
 //!
 //! Tokens that are in a bucket or may still be spent by an entry VM never exceed the bucket's capacity, and only the
-//! tenant's rate adds to them. So no window has more requests than the capacity and what the rate adds in it.
+//! workspace's rate adds to them. So no window has more requests than the capacity and what the rate adds in it.
 
 use {
     super::{
@@ -21,16 +21,16 @@
 const THOUSANDTH: u64 = TOKEN / 1_000;
 /// Retry time if tokens exist but too many are leased: the entry VMs call again within this time.
 const LEASED_RETRY_MS: u64 = 400;
-/// Retry time for a tenant that this control VM does not know yet.
+/// Retry time for a workspace that this control VM does not know yet.
 const UNKNOWN_RETRY_MS: u32 = 100;
 const MAX_RETRY_MS: u64 = 60_000;
 
 new_key_type! {
-    /// Key of a tenant's bucket.
+    /// Key of a workspace's bucket.
     struct BucketKey;
 }
 
-/// Limit of a tenant.
+/// Limit of a workspace.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Limit {
     /// Requests per second, in thousandths; 0 for no limit.
@@ -97,7 +97,7 @@
     }
 }
 
-/// What the leader knows of one tenant on one entry VM.
+/// What the leader knows of one workspace on one entry VM.
 #[derive(Clone, Copy, Debug, Default)]
 struct Lease {
     /// Tokens that the entry VM may still spend.
@@ -153,7 +153,7 @@
         }
     }
 
-    /// Number of leased tokens of all tenants.
+    /// Number of leased tokens of all workspaces.
     #[must_use]
     pub fn leased(&self) -> u64 {
         let leased = self.buckets.values().map(|bucket| bucket.leased / TOKEN);
@@ -161,7 +161,7 @@
     }
 }
 
-/// Sets the limits of all tenants. A new bucket is empty; one whose limit is lowered is cut to the new capacity.
+/// Sets the limits of all workspaces. A new bucket is empty; one whose limit is lowered is cut to the new capacity.
 ///
 /// ```
 /// use siskinstep::{clock::Micros, shares::{Grants, Limit, grant::{self, Start}}};
@@ -302,7 +302,7 @@
     bucket.fill_to(now, bucket.capacity);
 }
 
-/// Takes over what an entry VM reports of a tenant: spent tokens are gone, those that it does not keep return to the
+/// Takes over what an entry VM reports of a workspace: spent tokens are gone, those that it does not keep return to the
 /// level.
 fn settle(bucket: &mut Bucket, last: Option<Lease>, row: &RequestRow) -> Lease {
     let last = last.unwrap_or_default();
--- a/src/shares/hold.rs
+++ b/src/shares/hold.rs
@@ -2,7 +2,7 @@
 
 use {
     super::messages::{LeaseRequest, LeaseResponse, RequestRow},
-    crate::{clock::Micros, keys::TenantKey},
+    crate::{clock::Micros, keys::WorkspaceKey},
     slotmap::SecondaryMap,
     std::sync::Arc,
 };
@@ -22,7 +22,7 @@
 /// The entry VM keeps the tokens of its demand divided by this: half a second's.
 const KEPT_PART: u64 = 2;
 
-/// Requests of one tenant in this and the last window.
+/// Requests of one workspace in this and the last window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
     began: Micros,
@@ -52,12 +52,12 @@
     }
 }
 
-/// Tokens of one tenant.
+/// Tokens of one workspace.
 #[derive(Debug)]
 struct Holding {
     name: Arc<str>,
     held: u32,
-    /// Tokens spent, counted from the number of the last call times 2^32: a count that began again after the tenant was
+    /// Tokens spent, counted from the number of the last call times 2^32: a count that began again after the workspace was
     /// forgotten is larger than the former one, so that the leader never takes spent tokens for returned ones.
     spent: u64,
     /// Those of them in the last call.
@@ -99,7 +99,7 @@
     Token(Token),
     /// The request waits for the leader's answer, [`WAIT_MS`] at most.
     Wait,
-    /// The tenant is over its limit.
+    /// The workspace is over its limit.
     Denied {
         /// Milliseconds after which the limit permits a request.
         retry_ms: u64,
@@ -118,7 +118,7 @@
     vm: String,
     incarnation: u64,
     sequence: u64,
-    tenants: SecondaryMap<TenantKey, Holding>,
+    workspaces: SecondaryMap<WorkspaceKey, Holding>,
     /// When the held tokens expire.
     valid_until: Micros,
     /// When the next call may be made, and when the next one that is not urgent.
@@ -140,7 +140,7 @@
             vm: vm.to_owned(),
             incarnation,
             sequence: 0,
-            tenants: SecondaryMap::new(),
+            workspaces: SecondaryMap::new(),
             valid_until: Micros(0),
             next_at: Micros(0),
             due_at: Micros(0),
@@ -148,10 +148,10 @@
         }
     }
 
-    /// Takes a token for a request of the tenant `key`.
-    pub fn take(&mut self, key: TenantKey, name: &Arc<str>, now: Micros) -> Taken {
+    /// Takes a token for a request of the workspace `key`.
+    pub fn take(&mut self, key: WorkspaceKey, name: &Arc<str>, now: Micros) -> Taken {
         self.expire(now);
-        if !self.tenants.contains_key(key) {
+        if !self.workspaces.contains_key(key) {
             let spent = self.sequence << 32;
             let holding = Holding {
                 name: Arc::clone(name),
@@ -167,9 +167,9 @@
                     ..Demand::default()
                 },
             };
-            self.tenants.insert(key, holding);
+            self.workspaces.insert(key, holding);
         }
-        let holding = &mut self.tenants[key];
+        let holding = &mut self.workspaces[key];
         holding.demand.roll(now);
         holding.demand.current += 1;
         if holding.waiting == 0 && holding.held > 0 {
@@ -188,9 +188,9 @@
     }
 
     /// Takes a token for a request that waits. The request stays among those that wait if there is none.
-    pub fn take_waiting(&mut self, key: TenantKey, now: Micros) -> Option<Token> {
+    pub fn take_waiting(&mut self, key: WorkspaceKey, now: Micros) -> Option<Token> {
         self.expire(now);
-        let holding = self.tenants.get_mut(key)?;
+        let holding = self.workspaces.get_mut(key)?;
         if holding.held == 0 || holding.waiting == 0 {
             return None;
         }
@@ -202,8 +202,8 @@
 
     /// Ends the wait of a request. Returns the milliseconds until the limit permits a request if the leader has
     /// denied one; 0 if there was no answer.
-    pub fn stop_waiting(&mut self, key: TenantKey, now: Micros) -> u64 {
-        let Some(holding) = self.tenants.get_mut(key) else {
+    pub fn stop_waiting(&mut self, key: WorkspaceKey, now: Micros) -> u64 {
+        let Some(holding) = self.workspaces.get_mut(key) else {
             return 0;
         };
         holding.waiting = holding.waiting.saturating_sub(1);
@@ -213,15 +213,15 @@
 
     /// Whether a request that may wait until `until` need not: the leader has no token before.
     #[must_use]
-    pub fn is_denied(&self, key: TenantKey, until: Micros) -> bool {
-        let holding = self.tenants.get(key);
+    pub fn is_denied(&self, key: WorkspaceKey, until: Micros) -> bool {
+        let holding = self.workspaces.get(key);
         holding.is_some_and(|holding| holding.denied_until > until)
     }
 
     /// Gives back the token of a request that has not run. Once a call has reported it as spent, the leader may have
     /// replaced it, so it stays spent. Returns whether the token is held again.
-    pub fn give_back(&mut self, key: TenantKey, token: Token) -> bool {
-        let Some(holding) = self.tenants.get_mut(key) else {
+    pub fn give_back(&mut self, key: WorkspaceKey, token: Token) -> bool {
+        let Some(holding) = self.workspaces.get_mut(key) else {
             return false;
         };
         let is_held = token.0 == self.sequence && holding.spent > holding.reported;
@@ -232,9 +232,9 @@
         is_held
     }
 
-    /// Forgets the tenants for which `keep` is false: they have been removed or have no limit any more.
-    pub fn retain(&mut self, keep: impl Fn(TenantKey) -> bool) {
-        self.tenants.retain(|key, _| keep(key));
+    /// Forgets the workspaces for which `keep` is false: they have been removed or have no limit any more.
+    pub fn retain(&mut self, keep: impl Fn(WorkspaceKey) -> bool) {
+        self.workspaces.retain(|key, _| keep(key));
     }
 
     /// Time at which [`Self::next_call`] may have a call, if nothing else happens.
@@ -251,7 +251,7 @@
             };
             holding.has_news().then_some(at)
         };
-        let next = self.tenants.values().filter_map(active).min();
+        let next = self.workspaces.values().filter_map(active).min();
         next.map(|next| next.max(self.next_at).max(now))
     }
 
@@ -262,7 +262,7 @@
         if self.call.is_some_and(timeout) {
             self.failed(now);
         }
-        let mut all = self.tenants.values();
+        let mut all = self.workspaces.values();
         let is_due = if now >= self.due_at {
             all.any(Holding::has_news)
         } else {
@@ -278,7 +278,7 @@
             sent_at: now,
         });
         let mut rows = Vec::new();
-        for holding in self.tenants.values_mut() {
+        for holding in self.workspaces.values_mut() {
             holding.demand.roll(now);
             if !holding.has_news() {
                 continue;
@@ -323,7 +323,7 @@
         self.expire(now);
         self.call = None;
         self.valid_until = call.sent_at.plus_millis(VALID_MS);
-        for holding in self.tenants.values_mut() {
+        for holding in self.workspaces.values_mut() {
             let rows = &response.rows;
             let row = rows
                 .binary_search_by(|row| row.name.as_str().cmp(&holding.name))
@@ -335,14 +335,14 @@
             holding.denied_until = now.plus_millis(u64::from(row.retry_ms));
         }
         let is_idle = |holding: &Holding| !holding.has_news() && holding.demand.is_idle();
-        self.tenants.retain(|_, holding| !is_idle(holding));
+        self.workspaces.retain(|_, holding| !is_idle(holding));
     }
 
     /// Ends the call in progress without an answer. Tokens that it was granted are not used.
     pub fn failed(&mut self, now: Micros) {
         self.call = None;
         self.next_at = now.plus_millis(RETRY_MS);
-        for holding in self.tenants.values_mut() {
+        for holding in self.workspaces.values_mut() {
             holding.is_urgent = holding.waiting > 0;
             holding.is_listed = true;
         }
@@ -351,7 +351,7 @@
     fn expire(&mut self, now: Micros) {
         if self.valid_until != Micros(0) && now >= self.valid_until {
             self.valid_until = Micros(0);
-            for holding in self.tenants.values_mut() {
+            for holding in self.workspaces.values_mut() {
                 holding.held = 0;
                 // Spent tokens that are given back have expired too.
                 holding.reported = holding.spent;
--- a/src/shares/messages.rs
+++ b/src/shares/messages.rs
@@ -11,14 +11,14 @@
     pub incarnation: u64,
     /// Number of the call, increasing within an incarnation.
     pub sequence: u64,
-    /// Tenants of which the entry VM holds, has spent or wants tokens.
+    /// Workspaces of which the entry VM holds, has spent or wants tokens.
     pub rows: Vec<RequestRow>,
 }
 
-/// Tokens of one tenant on the calling entry VM.
+/// Tokens of one workspace on the calling entry VM.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestRow {
-    /// Name of the tenant.
+    /// Name of the workspace.
     pub name: String,
     /// Tokens spent since the entry VM began to count; it counts on while it has a row at the leader.
     pub spent: u64,
@@ -33,14 +33,14 @@
 pub struct LeaseResponse {
     /// Number of the answered call.
     pub sequence: u64,
-    /// A row for each tenant of the call.
+    /// A row for each workspace of the call.
     pub rows: Vec<ResponseRow>,
 }
 
-/// Tokens granted of one tenant.
+/// Tokens granted of one workspace.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResponseRow {
-    /// Name of the tenant.
+    /// Name of the workspace.
     pub name: String,
     /// Number of tokens granted.
     pub granted: u32,
--- a/src/shares/mod.rs
+++ b/src/shares/mod.rs
@@ -1,6 +1,6 @@
-//! Shares: limits of tenants for the whole fleet, divided among the entry VMs by leased tokens.
+//! Shares: limits of workspaces for the whole fleet, divided among the entry VMs by leased tokens.
 //!
-//! The leader of the control VMs has a bucket of tokens for each tenant with a limit and grants them to entry VMs;
+//! The leader of the control VMs has a bucket of tokens for each workspace with a limit and grants them to entry VMs;
 //! a token permits one request. See `docs/design/shares.md`.
 
 pub mod encode;
--- a/src/shares/serve.rs
+++ b/src/shares/serve.rs
@@ -196,8 +196,8 @@
             let start = self.tenures.begin(self.local, now);
             Grants::new(self.settings, start, now)
         });
-        if catalog.revision != self.revision && catalog.tenants.has_changed(self.revision) {
-            let limits = catalog.tenants.rows().iter().map(|row| {
+        if catalog.revision != self.revision && catalog.workspaces.has_changed(self.revision) {
+            let limits = catalog.workspaces.rows().iter().map(|row| {
                 let (rate, burst) = (row.value.rate, row.value.burst);
                 (row.name.as_str(), Limit { rate, burst })
             });
--- a/src/shares/settings.rs
+++ b/src/shares/settings.rs
@@ -7,7 +7,7 @@
 const CAPACITY_PERCENT: u128 = 50;
 const FILL_PERCENT: u128 = 40;
 
-/// By how much the fleet may exceed a limit; common to all tenants.
+/// By how much the fleet may exceed a limit; common to all workspaces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Excess in thousandths of what a limit allows in a window.
@@ -29,7 +29,7 @@
 }
 
 impl Settings {
-    /// Capacity of the bucket of a tenant, in thousandths of a token, at least one token: the burst and a part of the
+    /// Capacity of the bucket of a workspace, in thousandths of a token, at least one token: the burst and a part of the
     /// allowed excess.
     ///
     /// ```
@@ -43,7 +43,7 @@
         u64::try_from(capacity).unwrap_or(u64::MAX).max(1_000)
     }
 
-    /// Rate at which the bucket of a tenant fills, in thousandths of a token per second: the tenant's rate, and a part
+    /// Rate at which the bucket of a workspace fills, in thousandths of a token per second: the workspace's rate, and a part
     /// of the allowed excess in each window. What the bucket adds in a window and its capacity together stay below
     /// what a limit and its excess allow.
     ///
--- a/src/shares/tests/calls.rs
+++ b/src/shares/tests/calls.rs
@@ -3,7 +3,7 @@
 use {
     super::{call, row},
     crate::{
-        catalog::{Tenant, last_reports::LastReports, serve::Source},
+        catalog::{Workspace, last_reports::LastReports, serve::Source},
         context::Context,
         edge::{self, LOOPBACK, Limits, Listener, Secret, rpc},
         keys::ZoneKey,
@@ -20,7 +20,7 @@
 
 fn policy() -> Policy {
     let mut policy = Policy::default();
-    let tenant = Tenant {
+    let workspace = Workspace {
         keys: Vec::new(),
         rank: None,
         rate: 1_000_000,
@@ -30,7 +30,7 @@
     };
     let mut catalog = (*policy.catalog).clone();
     catalog.revision = 1;
-    catalog.tenants.put("a", tenant, 1);
+    catalog.workspaces.put("a", workspace, 1);
     policy.catalog = Arc::new(catalog);
     policy
 }
--- a/src/shares/tests/flow.rs
+++ b/src/shares/tests/flow.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         clock::Micros,
-        keys::TenantKey,
+        keys::WorkspaceKey,
         shares::{
             Hold, Limit, Settings, Taken,
             grant::{self, Grants, Start},
@@ -22,7 +22,7 @@
 const LOOK_MS: u64 = 2;
 
 struct Sender {
-    key: TenantKey,
+    key: WorkspaceKey,
     name: Arc<str>,
     /// Usual requests per second, in thousandths.
     usual: u64,
@@ -42,7 +42,7 @@
     senders: Vec<Sender>,
     calls: Vec<(u64, usize, LeaseRequest)>,
     answers: Vec<(u64, usize, LeaseResponse)>,
-    /// Time until which each request waits, its entry VM and its tenant.
+    /// Time until which each request waits, its entry VM and its workspace.
     waiting: Vec<(u64, usize, usize)>,
 }
 
@@ -56,7 +56,7 @@
         let mut keys = SlotMap::with_key();
         let sender = |(at, usual): (usize, &u64)| Sender {
             key: keys.insert(()),
-            name: format!("tenant-{at:03}").into(),
+            name: format!("workspace-{at:03}").into(),
             usual: *usual,
             rate: *usual,
             vms: 0..VMS,
@@ -158,7 +158,7 @@
     }
 }
 
-/// 74 tenants of 888 requests per second together, their sizes proportional to 1/k^1.2.
+/// 74 workspaces of 888 requests per second together, their sizes proportional to 1/k^1.2.
 fn uneven() -> Vec<u64> {
     let part = |k: u32| f64::from(k).powf(-1.2);
     let sum: f64 = (1..=74).map(part).sum();
@@ -166,35 +166,35 @@
     (1..=74).map(|k| rate(k).parse().unwrap()).collect()
 }
 
-/// Guards against refusals of tenants that stay below their limits: each of these sends less than one request in 5 s
+/// Guards against refusals of workspaces that stay below their limits: each of these sends less than one request in 5 s
 /// through most entry VMs.
 #[test]
-fn tenants_below_their_limits_are_served() {
+fn workspaces_below_their_limits_are_served() {
     let mut fleet = Fleet::new(&uneven());
     fleet.run(20_000);
     fleet.expect_few_refused(0..74);
-    for tenant in 0..74 {
-        let sender = &fleet.senders[tenant];
+    for workspace in 0..74 {
+        let sender = &fleet.senders[workspace];
         assert!(
             sender.refused * 20 <= sender.served,
-            "{tenant}: {} refused",
+            "{workspace}: {} refused",
             sender.refused
         );
     }
 }
 
-/// Guards against equal parts: all requests of a small tenant may arrive at one entry VM.
+/// Guards against equal parts: all requests of a small workspace may arrive at one entry VM.
 #[test]
-fn a_small_tenant_at_one_entry_vm_is_served() {
+fn a_small_workspace_at_one_entry_vm_is_served() {
     let mut fleet = Fleet::new(&[2_000]);
     fleet.senders[0].vms = 9..10;
     fleet.run(60_000);
     fleet.expect_few_refused(0..1);
 }
 
-/// Guards against tokens that stay where a tenant no longer sends: it moves to other entry VMs within a second.
+/// Guards against tokens that stay where a workspace no longer sends: it moves to other entry VMs within a second.
 #[test]
-fn a_tenant_that_moves_to_another_zone_is_served() {
+fn a_workspace_that_moves_to_another_zone_is_served() {
     let mut fleet = Fleet::new(&[200_000, 20_000]);
     for zone in [0..10, 10..20, 30..40, 0..10] {
         fleet
@@ -220,9 +220,9 @@
     fleet.expect_few_refused(0..74);
 }
 
-/// Guards against a tenant over its limit that gets much less than it, or that takes from others.
+/// Guards against a workspace over its limit that gets much less than it, or that takes from others.
 #[test]
-fn a_tenant_over_its_limit_gets_about_the_limit() {
+fn a_workspace_over_its_limit_gets_about_the_limit() {
     let mut fleet = Fleet::new(&uneven());
     fleet.run(3_000);
     fleet.senders[1].rate *= 8;
--- a/src/shares/tests/mod.rs
+++ b/src/shares/tests/mod.rs
@@ -11,7 +11,7 @@
         messages::{LeaseRequest, LeaseResponse, RequestRow, ResponseRow},
         serve::Tenures,
     },
-    crate::{clock::Micros, keys::TenantKey},
+    crate::{clock::Micros, keys::WorkspaceKey},
     std::{net::SocketAddr, sync::Arc},
 };
 
@@ -176,7 +176,7 @@
 #[test]
 fn tokens_expire_and_late_answers_are_dropped() {
     let mut keys = slotmap::SlotMap::with_key();
-    let key: TenantKey = keys.insert(());
+    let key: WorkspaceKey = keys.insert(());
     let name: Arc<str> = "a".into();
     let at = |ms: u64| Micros::from_millis(60_000 + ms);
     for (answered_ms, taken_ms, is_served) in
@@ -204,7 +204,7 @@
 #[test]
 fn a_new_count_of_spent_tokens_is_larger() {
     let mut keys = slotmap::SlotMap::with_key();
-    let key: TenantKey = keys.insert(());
+    let key: WorkspaceKey = keys.insert(());
     let name: Arc<str> = "a".into();
     let mut hold = Hold::new("one", 1);
     let (mut grants, now) = filled(100_000);
@@ -232,7 +232,7 @@
     assert_eq!(tenures.begin(two, at(5_100)), Start::Unsettled);
 }
 
-/// Guards against spent tokens that return to the bucket: the count of an entry VM that forgot the tenant begins anew,
+/// Guards against spent tokens that return to the bucket: the count of an entry VM that forgot the workspace begins anew,
 /// so the leader does not know how many were spent.
 #[test]
 fn a_smaller_count_of_spent_tokens_returns_none() {
@@ -254,7 +254,7 @@
 #[test]
 fn calls_are_spaced() {
     let mut keys = slotmap::SlotMap::with_key();
-    let key: TenantKey = keys.insert(());
+    let key: WorkspaceKey = keys.insert(());
     let name: Arc<str> = "a".into();
     let at = |ms: u64| Micros::from_millis(60_000 + ms);
     let mut hold = Hold::new("one", 1);
--- a/src/shares/tests/windows.rs
+++ b/src/shares/tests/windows.rs
@@ -4,7 +4,7 @@
     crate::{
         clock::Micros,
         fuzz,
-        keys::TenantKey,
+        keys::WorkspaceKey,
         shares::{
             Hold, Limit, Settings, Taken, Token,
             grant::{self, Grants, Start, WRITE_OFF_MS},
@@ -39,7 +39,7 @@
     suspended_until: [Micros; VMS],
     calls: Vec<(usize, LeaseRequest)>,
     answers: Vec<(usize, LeaseResponse)>,
-    key: TenantKey,
+    key: WorkspaceKey,
     limit: Limit,
     /// Whether requests arrive; in pauses the bucket fills.
     is_busy: bool,
--- a/src/steer/allotment.rs
+++ b/src/steer/allotment.rs
@@ -1,4 +1,4 @@
-//! Limits of tenants: a request of a tenant with a limit needs a token before it is sent or queued.
+//! Limits of workspaces: a request of a workspace with a limit needs a token before it is sent or queued.
 
 use {
     super::{
@@ -8,7 +8,7 @@
     crate::{
         call::{Reason, Refusal},
         clock::Micros,
-        keys::{InFlightKey, TenantKey},
+        keys::{InFlightKey, WorkspaceKey},
         shares::{LeaseResponse, Taken, Token, hold::WAIT_MS},
     },
 };
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Awaiting {
     in_flight: InFlightKey,
-    tenant: TenantKey,
+    workspace: WorkspaceKey,
     until: Micros,
 }
 
@@ -33,18 +33,18 @@
     let Some(in_flight) = state.in_flight.get(key) else {
         return;
     };
-    let tenant = in_flight.tenant;
-    let row = tenant.and_then(|tenant| Some((tenant, state.tenants.get(tenant)?)));
-    let Some((tenant, row)) = row.filter(|(_, row)| row.rate > 0) else {
+    let workspace = in_flight.workspace;
+    let row = workspace.and_then(|workspace| Some((workspace, state.workspaces.get(workspace)?)));
+    let Some((workspace, row)) = row.filter(|(_, row)| row.rate > 0) else {
         return decide::place_or_enqueue(state, key, random, now);
     };
-    match state.hold.take(tenant, &row.name, now) {
+    match state.hold.take(workspace, &row.name, now) {
         Taken::Token(token) => proceed(state, key, token, random, now),
         Taken::Wait => {
             let wait_ms = WAIT_MS.min(in_flight.route.objective_ms / WAIT_DIVISOR);
             state.awaiting.push(Awaiting {
                 in_flight: key,
-                tenant,
+                workspace,
                 until: now.plus_millis(wait_ms).min(in_flight.deadline),
             });
         }
@@ -102,11 +102,11 @@
         let random = random ^ decide::key_bits(row.in_flight);
         if state.in_flight.get(row.in_flight).is_none() {
             // Its caller's identity has changed.
-            state.hold.stop_waiting(row.tenant, now);
-        } else if let Some(token) = state.hold.take_waiting(row.tenant, now) {
+            state.hold.stop_waiting(row.workspace, now);
+        } else if let Some(token) = state.hold.take_waiting(row.workspace, now) {
             proceed(state, row.in_flight, token, random, now);
-        } else if now >= row.until || state.hold.is_denied(row.tenant, row.until) {
-            let retry_ms = state.hold.stop_waiting(row.tenant, now);
+        } else if now >= row.until || state.hold.is_denied(row.workspace, row.until) {
+            let retry_ms = state.hold.stop_waiting(row.workspace, now);
             refuse(state, row.in_flight, retry_ms, random);
         } else {
             left.push(row);
@@ -126,15 +126,15 @@
 
 /// Gives back the token of a request that ends without having run.
 pub(super) fn give_back(state: &mut State, in_flight: &InFlight) {
-    if let (Some(tenant), Some(token)) = (in_flight.tenant, in_flight.token) {
-        state.hold.give_back(tenant, token);
+    if let (Some(workspace), Some(token)) = (in_flight.workspace, in_flight.token) {
+        state.hold.give_back(workspace, token);
     }
 }
 
-/// Drops the tokens of tenants that were removed or have no limit any more.
-pub(super) fn apply_tenants(state: &mut State) {
-    let tenants = &state.tenants;
+/// Drops the tokens of workspaces that were removed or have no limit any more.
+pub(super) fn apply_workspaces(state: &mut State) {
+    let workspaces = &state.workspaces;
     state
         .hold
-        .retain(|key| tenants.get(key).is_some_and(|row| row.rate > 0));
+        .retain(|key| workspaces.get(key).is_some_and(|row| row.rate > 0));
 }
--- a/src/steer/catalog.rs
+++ b/src/steer/catalog.rs
@@ -32,8 +32,8 @@
 /// zones. A control VM that has just started lists all entry VMs within that time.
 pub(super) const ENTRY_MEMORY_MS: u64 = DISTANT_EXPIRY_MS;
 
-/// Replaces routes and entry VM counts, and updates tenants, services and upstreams to match the catalogue. Returns
-/// whether tenants have changed, so that requests in progress must be identified again.
+/// Replaces routes and entry VM counts, and updates workspaces, services and upstreams to match the catalogue. Returns
+/// whether workspaces have changed, so that requests in progress must be identified again.
 pub(super) fn apply(state: &mut State, followed: &CatalogView, now: Micros) -> bool {
     let catalog = &followed.catalog;
     let is_first = state.version == 0;
@@ -44,7 +44,9 @@
     let limits = catalog.bounds();
     state.body_bytes = limits.map_or(u64::MAX, |limits| limits.body_bytes);
     state.index = Index::new(catalog);
-    let has_new_tenants = state.tenants.apply(&catalog.tenants, catalog.has_tenants);
+    let has_new_workspaces = state
+        .workspaces
+        .apply(&catalog.workspaces, catalog.has_workspaces);
     record_entries(state, &followed.zones, now);
     let count = state.entry_count();
     state.slack_share.record_entries(count, now);
@@ -86,7 +88,7 @@
         true
     });
     state.pools = pools;
-    has_new_tenants
+    has_new_workspaces
 }
 
 /// Records the number of entry VMs in each zone.
--- a/src/steer/decide.rs
+++ b/src/steer/decide.rs
@@ -11,7 +11,7 @@
         clock::Micros,
         courier::Ended,
         keys::{InFlightKey, UpstreamKey},
-        tenants::Credential,
+        workspaces::Credential,
     },
     std::sync::Arc,
 };
@@ -70,7 +70,7 @@
     if head.body_bytes > state.body_bytes {
         return Err(Refusal::not_run(Reason::TooLarge));
     }
-    let (tenant, rank) = identity::identify(state, &route, head.credential, head.random)?;
+    let (workspace, rank) = identity::identify(state, &route, head.credential, head.random)?;
     let Some(service) = split::pick_service(state, &name, &route) else {
         return Err(Refusal::not_run(Reason::NoUpstream));
     };
@@ -82,8 +82,8 @@
         send_by: latest_send(&route, work_us, now).min(deadline),
         route,
         credential: head.credential,
-        flow: queue::flow(state, tenant, &name),
-        tenant,
+        flow: queue::flow(state, workspace, &name),
+        workspace,
         rank,
         service: Arc::clone(&service),
         affinity: head.affinity.unwrap_or(head.random),
@@ -162,10 +162,10 @@
         id: Arc::clone(&row.id),
         born: row.born,
         deadline: in_flight.deadline,
-        is_checked: state.tenants.has_tenants(),
-        tenant: in_flight
-            .tenant
-            .and_then(|key| state.tenants.get(key))
+        is_checked: state.workspaces.has_workspaces(),
+        workspace: in_flight
+            .workspace
+            .and_then(|key| state.workspaces.get(key))
             .map(|row| Arc::clone(&row.name)),
         basis,
     });
--- a/src/steer/identity.rs
+++ b/src/steer/identity.rs
@@ -1,4 +1,4 @@
-//! Identity of the callers of requests: at admission, and whenever tenants change.
+//! Identity of the callers of requests: at admission, and whenever workspaces change.
 
 use {
     super::{
@@ -10,13 +10,13 @@
         catalog::Route,
         clock::Micros,
         fairness,
-        keys::TenantKey,
-        tenants::{self, Credential},
+        keys::WorkspaceKey,
+        workspaces::{self, Credential},
     },
     std::sync::Arc,
 };
 
-/// Identifies the tenant of a request, and returns the rank that applies to it: the tenant's if it has one, otherwise
+/// Identifies the workspace of a request, and returns the rank that applies to it: the workspace's if it has one, otherwise
 /// the route's.
 ///
 /// # Errors
@@ -26,39 +26,39 @@
     route: &Route,
     credential: Credential,
     random: u64,
-) -> Result<(Option<TenantKey>, u32), Refusal> {
-    let tenant = tenants::identify(
-        &state.tenants,
+) -> Result<(Option<WorkspaceKey>, u32), Refusal> {
+    let workspace = workspaces::identify(
+        &state.workspaces,
         route.public,
         credential,
         state.is_control_reachable,
     );
-    let tenant = tenant.map_err(|reason| Refusal {
+    let workspace = workspace.map_err(|reason| Refusal {
         retry_ms: jittered_ms(MAX_RETRY_MS, random),
         ..Refusal::not_run(reason)
     })?;
-    let row = tenant.and_then(|key| state.tenants.get(key));
+    let row = workspace.and_then(|key| state.workspaces.get(key));
     let rank = row.and_then(|row| row.rank).unwrap_or(route.rank);
-    Ok((tenant, rank))
+    Ok((workspace, rank))
 }
 
 /// Reason why a request that was admitted may not be sent any more: its credential no longer identifies the same
-/// tenant. A credential that is valid for another tenant is not unauthorized: its caller may retry as that tenant.
+/// workspace. A credential that is valid for another workspace is not unauthorized: its caller may retry as that workspace.
 pub(super) fn change(state: &State, in_flight: &InFlight) -> Option<Reason> {
-    let identity = tenants::identify(
-        &state.tenants,
+    let identity = workspaces::identify(
+        &state.workspaces,
         in_flight.route.public,
         in_flight.credential,
         state.is_control_reachable,
     );
     match identity {
-        Ok(tenant) if tenant == in_flight.tenant => None,
+        Ok(workspace) if workspace == in_flight.workspace => None,
         Ok(_) => Some(Reason::IdentityUnknown),
         Err(reason) => Some(reason),
     }
 }
 
-/// Refuses the waiting requests whose credential no longer identifies the same tenant, and takes back the attempts of
+/// Refuses the waiting requests whose credential no longer identifies the same workspace, and takes back the attempts of
 /// others that have not been sent yet.
 pub(super) fn refuse_changed(state: &mut State, random: u64, now: Micros) {
     let mut changed = Vec::new();
--- a/src/steer/messages.rs
+++ b/src/steer/messages.rs
@@ -7,7 +7,7 @@
         catalog::follow::CatalogView,
         courier::Report,
         shares::LeaseResponse,
-        tenants::Credential,
+        workspaces::Credential,
     },
     std::sync::Arc,
 };
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -63,7 +63,7 @@
 /// Whether `upstream` is in a region that may serve `in_flight`.
 pub(super) fn is_in_homes(state: &State, in_flight: &InFlight, upstream: &Upstream) -> bool {
     let region = state.regions.get(&*upstream.zone);
-    in_flight.may_enter(region, &state.tenants)
+    in_flight.may_enter(region, &state.workspaces)
 }
 
 /// Requests per second that this VM may send to a cold upstream: its share of the limit for all entry VMs.
@@ -193,7 +193,7 @@
 
 /// Whether the local region may not serve `in_flight`.
 fn has_remote_home(state: &State, in_flight: &InFlight) -> bool {
-    !in_flight.may_enter(Some(&state.region), &state.tenants)
+    !in_flight.may_enter(Some(&state.region), &state.workspaces)
 }
 
 /// Whether `in_flight` may be sent to another region.
--- a/src/steer/queue.rs
+++ b/src/steer/queue.rs
@@ -11,16 +11,16 @@
         call::{Ran, Reason},
         clock::Micros,
         fairness::{self, Flow, Outcome},
-        keys::{InFlightKey, TenantKey},
+        keys::{InFlightKey, WorkspaceKey},
     },
     std::sync::Arc,
 };
 
-/// Flow of a request. Without tenants in the configuration there is only one, so that requests are sent by arrival.
-pub(super) fn flow(state: &State, tenant: Option<TenantKey>, route: &Arc<str>) -> Flow {
-    match tenant {
-        Some(tenant) => Flow::Tenant(tenant),
-        None if state.tenants.has_tenants() => Flow::Route(Arc::clone(route)),
+/// Flow of a request. Without workspaces in the configuration there is only one, so that requests are sent by arrival.
+pub(super) fn flow(state: &State, workspace: Option<WorkspaceKey>, route: &Arc<str>) -> Flow {
+    match workspace {
+        Some(workspace) => Flow::Workspace(workspace),
+        None if state.workspaces.has_workspaces() => Flow::Route(Arc::clone(route)),
         None => Flow::All,
     }
 }
@@ -44,11 +44,13 @@
 }
 
 /// Whether a request may only be sent to some regions, so that others may find free slots while it does not. Without
-/// tenants in the configuration all requests count alike.
+/// workspaces in the configuration all requests count alike.
 fn is_confined(state: &State, in_flight: &InFlight) -> bool {
-    let tenant = in_flight.tenant.and_then(|key| state.tenants.get(key));
-    let has_homes =
-        !in_flight.route.homes.is_empty() || tenant.is_some_and(|tenant| !tenant.homes.is_empty());
+    let workspace = in_flight
+        .workspace
+        .and_then(|key| state.workspaces.get(key));
+    let has_homes = !in_flight.route.homes.is_empty()
+        || workspace.is_some_and(|workspace| !workspace.homes.is_empty());
     in_flight.flow != Flow::All && has_homes
 }
 
--- a/src/steer/state.rs
+++ b/src/steer/state.rs
@@ -18,11 +18,11 @@
         clock::Micros,
         courier::Load,
         fairness::{self, Flow},
-        keys::{InFlightKey, TenantKey, UpstreamKey},
+        keys::{InFlightKey, UpstreamKey, WorkspaceKey},
         routes::Index,
         shares::{Hold, LeaseRequest, Token},
         sorted::Sorted,
-        tenants::{self, Credential},
+        workspaces::{self, Credential},
     },
     slotmap::SlotMap,
     std::{net::SocketAddr, sync::Arc},
@@ -137,11 +137,11 @@
 pub(super) struct InFlight {
     pub(super) route: Arc<Route>,
     pub(super) credential: Credential,
-    /// Tenant that it was admitted as.
-    pub(super) tenant: Option<TenantKey>,
+    /// Workspace that it was admitted as.
+    pub(super) workspace: Option<WorkspaceKey>,
     /// Flow that it belongs to while it waits.
     pub(super) flow: Flow,
-    /// Priority when capacity is scarce: the tenant's if it has one, otherwise the route's.
+    /// Priority when capacity is scarce: the workspace's if it has one, otherwise the route's.
     pub(super) rank: u32,
     pub(super) service: Arc<str>,
     pub(super) affinity: u64,
@@ -165,7 +165,7 @@
     pub(super) retry_same: Option<UpstreamKey>,
     /// Attempts that an upstream may have run.
     pub(super) possible_runs: u32,
-    /// Token that it has taken of its tenant's limit.
+    /// Token that it has taken of its workspace's limit.
     pub(super) token: Option<Token>,
 }
 
@@ -174,14 +174,18 @@
         self.route.kind.is_repeatable()
     }
 
-    /// Whether it may be sent to upstreams in `region`: its route and its tenant both allow it.
-    pub(super) fn may_enter(&self, region: Option<&Arc<str>>, tenants: &tenants::Index) -> bool {
-        let tenant = self.tenant.and_then(|key| tenants.get(key));
+    /// Whether it may be sent to upstreams in `region`: its route and its workspace both allow it.
+    pub(super) fn may_enter(
+        &self,
+        region: Option<&Arc<str>>,
+        workspaces: &workspaces::Index,
+    ) -> bool {
+        let workspace = self.workspace.and_then(|key| workspaces.get(key));
         let allows = |homes: &[String]| {
             homes.is_empty()
                 || region.is_some_and(|region| homes.iter().any(|home| **home == **region))
         };
-        allows(&self.route.homes) && tenant.is_none_or(|tenant| allows(&tenant.homes))
+        allows(&self.route.homes) && workspace.is_none_or(|workspace| allows(&workspace.homes))
     }
 }
 
@@ -199,8 +203,8 @@
         deadline: Micros,
         /// Whether callers need an API key.
         is_checked: bool,
-        /// Name of the caller's tenant.
-        tenant: Option<Arc<str>>,
+        /// Name of the caller's workspace.
+        workspace: Option<Arc<str>>,
         /// Basis of the choice, for the log.
         basis: Basis,
     },
@@ -257,7 +261,7 @@
     /// Maximum size of a request body in bytes, as configured.
     pub(super) body_bytes: u64,
     pub(super) index: Index,
-    pub(super) tenants: tenants::Index,
+    pub(super) workspaces: workspaces::Index,
     /// Whether any control VM can be reached.
     pub(super) is_control_reachable: bool,
     pub(super) upstreams: SlotMap<UpstreamKey, Upstream>,
@@ -278,7 +282,7 @@
     pub(super) connect_us: [f64; DISTANCES],
     /// What the responses of upstreams said about further requests.
     pub(super) pressure: backpressure::State,
-    /// Tokens of the limits of tenants, and the requests that wait for one, in order of arrival.
+    /// Tokens of the limits of workspaces, and the requests that wait for one, in order of arrival.
     pub(super) hold: Hold,
     pub(super) awaiting: Vec<Awaiting>,
     pub(super) effects: Vec<Effect>,
@@ -305,7 +309,7 @@
             version: 0,
             body_bytes: u64::MAX,
             index: Index::default(),
-            tenants: tenants::Index::default(),
+            workspaces: workspaces::Index::default(),
             is_control_reachable: false,
             upstreams: SlotMap::default(),
             ids: Sorted::default(),
--- a/src/steer/tests/allotment.rs
+++ b/src/steer/tests/allotment.rs
@@ -1,4 +1,4 @@
-//! Tests of limits of tenants: requests that wait for a token, and tokens of requests that did not run.
+//! Tests of limits of workspaces: requests that wait for a token, and tokens of requests that did not run.
 
 use {
     super::{NOW, World, at, failed, ms},
@@ -12,19 +12,19 @@
             decide::{self, RequestHead},
             state::Effect,
         },
-        tenants::tests::{credential, tenant},
+        workspaces::tests::{credential, workspace},
     },
 };
 
-/// A VM with the tenant `acme` (key `a1`), which may send one request a second.
+/// A VM with the workspace `acme` (key `a1`), which may send one request a second.
 fn world() -> World {
     let mut world = World::new(&[("a1", at("a", 1))]);
     world.catalog.routes.put("one", route("h", "/one/"), 2);
-    world.catalog.has_tenants = true;
-    let mut limited = tenant(&["a1"]);
+    world.catalog.has_workspaces = true;
+    let mut limited = workspace(&["a1"]);
     limited.rate = 1_000;
-    world.catalog.tenants.put("acme", limited, 2);
-    world.catalog.tenants.put("free", tenant(&["f1"]), 2);
+    world.catalog.workspaces.put("acme", limited, 2);
+    world.catalog.workspaces.put("free", workspace(&["f1"]), 2);
     world.apply_catalog();
     world
 }
@@ -74,7 +74,7 @@
     assert_eq!(answer(&mut world, 1, 1, 0), ["send a1"]);
 }
 
-/// Guards against calls for tenants without a limit, and for deployments without tenants.
+/// Guards against calls for workspaces without a limit, and for deployments without workspaces.
 #[test]
 fn requests_without_a_limit_need_no_token() {
     let mut world = world();
@@ -150,10 +150,10 @@
     let mut world = world();
     ask(&mut world, "a1");
     tick(&mut world);
-    world.catalog.tenants.put("acme", tenant(&["a2"]), 3);
+    world.catalog.workspaces.put("acme", workspace(&["a2"]), 3);
     world.apply_catalog();
     crate::steer::identity::refuse_changed(&mut world.state, 7, world.now);
-    allotment::apply_tenants(&mut world.state);
+    allotment::apply_workspaces(&mut world.state);
     let effects = world.effects();
     assert!(
         effects.iter().any(|row| row.starts_with("refuse")),
--- a/src/steer/tests/balance.rs
+++ b/src/steer/tests/balance.rs
@@ -29,7 +29,7 @@
     let head = RequestHead {
         host: "h",
         path,
-        credential: crate::tenants::Credential::None,
+        credential: crate::workspaces::Credential::None,
         affinity: Some(KEY),
         timeout_ms: Some(2_000),
         body_bytes: 0,
--- a/src/steer/tests/bodies.rs
+++ b/src/steer/tests/bodies.rs
@@ -16,7 +16,7 @@
 impl World {
     fn admit_body(&mut self, body_bytes: u64) -> InFlightKey {
         let head = RequestHead {
-            credential: crate::tenants::Credential::None,
+            credential: crate::workspaces::Credential::None,
             host: "h",
             path: "/one/",
             affinity: Some(1),
--- a/src/steer/tests/fairness.rs
+++ b/src/steer/tests/fairness.rs
@@ -1,14 +1,14 @@
-//! Tests of the order in which the requests of several tenants wait, are sent and are refused.
+//! Tests of the order in which the requests of several workspaces wait, are sent and are refused.
 
 use {
     super::{
         World, ms,
-        tenants::{block, tenants_sent, try_admit, world},
+        workspaces::{block, try_admit, workspaces_sent, world},
     },
     crate::{
         keys::InFlightKey,
         steer::{decide, queue},
-        tenants::{Credential, tests::credential},
+        workspaces::{Credential, tests::credential},
     },
 };
 
@@ -21,10 +21,10 @@
     world.state.pools.get("s").unwrap().waiting.keys().collect()
 }
 
-/// Guards against a tenant whose many requests are all sent before the few of another, and against room that is left
+/// Guards against a workspace whose many requests are all sent before the few of another, and against room that is left
 /// idle while requests wait: one slot becomes free after the other, and each is used at once.
 #[test]
-fn tenants_that_wait_take_turns() {
+fn workspaces_that_wait_take_turns() {
     let mut world = world();
     block(&mut world);
     for key in ["a1", "a1", "a1", "a1", "b1", "b1"] {
@@ -33,7 +33,7 @@
     world.effects();
     world.now = ms(300);
     decide::tick(&mut world.state, 7, world.now);
-    let mut sent = tenants_sent(&mut world);
+    let mut sent = workspaces_sent(&mut world);
     while let Some(running) = world
         .state
         .in_flight
@@ -43,7 +43,7 @@
         let before = waiting(&world).len();
         world.respond(running);
         assert!(before == 0 || waiting(&world).len() < before);
-        sent.extend(tenants_sent(&mut world));
+        sent.extend(workspaces_sent(&mut world));
     }
     sent.retain(|effect| effect.starts_with("as "));
     assert_eq!(
@@ -54,14 +54,14 @@
     );
 }
 
-/// Guards against another order, or other refusals, than before in deployments without tenants: routes of a rank share
+/// Guards against another order, or other refusals, than before in deployments without workspaces: routes of a rank share
 /// one flow, and a request that finds the queue full is refused itself.
 #[test]
-fn without_tenants_requests_wait_by_arrival() {
+fn without_workspaces_requests_wait_by_arrival() {
     let mut world = world();
-    world.catalog.has_tenants = false;
-    world.catalog.tenants.remove("acme", 3);
-    world.catalog.tenants.remove("bolt", 3);
+    world.catalog.has_workspaces = false;
+    world.catalog.workspaces.remove("acme", 3);
+    world.catalog.workspaces.remove("bolt", 3);
     world.apply_catalog();
     block(&mut world);
     let mut expected = Vec::new();
@@ -77,9 +77,9 @@
     assert_eq!(waiting(&world), expected);
 }
 
-/// Guards against a tenant that fills the queue, so that the requests of all others are refused.
+/// Guards against a workspace that fills the queue, so that the requests of all others are refused.
 #[test]
-fn a_full_queue_refuses_the_tenant_that_filled_it() {
+fn a_full_queue_refuses_the_workspace_that_filled_it() {
     let mut world = world();
     block(&mut world);
     world.state.settings.max_waiting = 4;
@@ -92,14 +92,14 @@
     assert_eq!(waiting(&world), [acme[0], bolt, acme[1], acme[2]]);
 }
 
-/// Guards against a tenant that may only use a region whose upstreams are all busy, and that keeps others from free
+/// Guards against a workspace that may only use a region whose upstreams are all busy, and that keeps others from free
 /// slots elsewhere: those that arrive later, and those that wait behind it.
 #[test]
-fn a_tenant_without_room_in_its_region_does_not_block_others() {
+fn a_workspace_without_room_in_its_region_does_not_block_others() {
     let mut world = world();
-    let mut homed = crate::tenants::tests::tenant(&["h1"]);
+    let mut homed = crate::workspaces::tests::workspace(&["h1"]);
     homed.homes = vec!["s".to_owned()];
-    world.catalog.tenants.put("homed", homed, 3);
+    world.catalog.workspaces.put("homed", homed, 3);
     world.apply_catalog();
     loop {
         let key = admit(&mut world, "/one/x", "h1");
@@ -109,7 +109,7 @@
     }
     world.effects();
     let sent = admit(&mut world, "/one/x", "b1");
-    assert_eq!(tenants_sent(&mut world), ["as bolt"]);
+    assert_eq!(workspaces_sent(&mut world), ["as bolt"]);
     // Until no slot is free, and one becomes free again.
     while waiting(&world).len() < 2 {
         admit(&mut world, "/one/x", "b1");
@@ -117,7 +117,7 @@
     world.effects();
     world.respond(sent);
     assert_eq!(
-        tenants_sent(&mut world),
+        workspaces_sent(&mut world),
         [format!("Deliver({sent:?})"), "as bolt".to_owned()]
     );
     assert_eq!(waiting(&world).len(), 1);
--- a/src/steer/tests/mod.rs
+++ b/src/steer/tests/mod.rs
@@ -10,8 +10,8 @@
 mod rest;
 mod shares;
 mod slow_start;
-mod tenants;
 mod thread;
+mod workspaces;
 
 use {
     super::{
@@ -31,7 +31,7 @@
         clock::Micros,
         courier::{Ended, Load},
         keys::InFlightKey,
-        tenants::Credential,
+        workspaces::Credential,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::sync::Arc,
--- a/src/steer/tests/thread.rs
+++ b/src/steer/tests/thread.rs
@@ -17,7 +17,7 @@
         poison::{Monitor, Verdicts},
         ring::{self, AsyncReceiver, Sender},
         steer::{Dependencies, Message, Request, Settings, spawn},
-        tenants::tests::{credential, tenant},
+        workspaces::tests::{credential, workspace},
     },
     std::{
         sync::{
@@ -40,7 +40,7 @@
 }
 
 impl Duty {
-    /// Starts the duty with an upstream and the tenant `acme` with the key `a1`.
+    /// Starts the duty with an upstream and the workspace `acme` with the key `a1`.
     fn start() -> Self {
         let (sender, ring) = ring::bounded(16);
         let (courier_tx, courier) = ring::bounded_async(16);
@@ -62,8 +62,8 @@
         catalog.services.put("s", service(), 1);
         catalog.routes.put("one", route("h", "/one/"), 1);
         catalog.upstreams.put("a1", at("a", 1), 1);
-        catalog.has_tenants = true;
-        catalog.tenants.put("acme", tenant(&["a1"]), 1);
+        catalog.has_workspaces = true;
+        catalog.workspaces.put("acme", workspace(&["a1"]), 1);
         let runtime = tokio::runtime::Builder::new_current_thread().build();
         let duty = Self {
             ring: sender,
@@ -130,10 +130,10 @@
     let (outcome, _guard) = duty.ask("a1");
     let dispatch = duty.dispatched();
     assert!(dispatch.caller.is_checked);
-    assert_eq!(dispatch.caller.tenant.as_deref(), Some("acme"));
+    assert_eq!(dispatch.caller.workspace.as_deref(), Some("acme"));
     let revoked = dispatch.caller.revoked.clone().unwrap();
     assert!(!revoked.is_cancelled());
-    duty.catalog.tenants.put("acme", tenant(&["a2"]), 2);
+    duty.catalog.workspaces.put("acme", workspace(&["a2"]), 2);
     duty.update();
     let limit = Instant::now() + WAIT;
     while !revoked.is_cancelled() {
--- a/src/steer/tests/tenants.rs
+++ b/src/steer/tests/workspaces.rs
@@ -10,14 +10,14 @@
             decide::{self, RequestHead},
             state::Effect,
         },
-        tenants::{
+        workspaces::{
             Credential,
-            tests::{credential, tenant},
+            tests::{credential, workspace},
         },
     },
 };
 
-/// A fleet with the tenants `acme` and `bolt`, whose keys are `a1` and `b1`, and a public route.
+/// A fleet with the workspaces `acme` and `bolt`, whose keys are `a1` and `b1`, and a public route.
 pub(super) fn world() -> World {
     let mut world = World::new(&[("a1", at("a", 1)), ("c1", at("c", 2))]);
     world.state.is_control_reachable = true;
@@ -36,14 +36,17 @@
         row.objective_ms = 20_000;
         world.catalog.routes.put(name, row, 2);
     }
-    world.catalog.has_tenants = true;
+    world.catalog.has_workspaces = true;
     put(&mut world, 2, &[("acme", &["a1"]), ("bolt", &["b1"])]);
     world
 }
 
 fn put(world: &mut World, revision: u64, rows: &[(&str, &[&str])]) {
     for (name, keys) in rows {
-        world.catalog.tenants.put(name, tenant(keys), revision);
+        world
+            .catalog
+            .workspaces
+            .put(name, workspace(keys), revision);
     }
     world.apply_catalog();
 }
@@ -80,10 +83,12 @@
     world.effects();
 }
 
-/// Names of the tenants with which requests are sent, and all other effects.
-pub(super) fn tenants_sent(world: &mut World) -> Vec<String> {
+/// Names of the workspaces with which requests are sent, and all other effects.
+pub(super) fn workspaces_sent(world: &mut World) -> Vec<String> {
     let describe = |effect: &Effect| match effect {
-        Effect::Send { tenant, .. } => format!("as {}", tenant.as_deref().unwrap_or("nobody")),
+        Effect::Send { workspace, .. } => {
+            format!("as {}", workspace.as_deref().unwrap_or("nobody"))
+        }
         Effect::Refuse(_, refusal) => format!("{} {:?}", refusal.reason.name(), refusal.ran),
         other => format!("{other:?}"),
     };
@@ -127,7 +132,7 @@
         assert_eq!(refusal(&mut world, "/one/x", unknown), expected);
     }
     try_admit(&mut world, "/one/x", credential("a1")).unwrap();
-    assert_eq!(tenants_sent(&mut world), ["as acme"]);
+    assert_eq!(workspaces_sent(&mut world), ["as acme"]);
     world.state.version = 0;
     let reason = refusal(&mut world, "/one/x", credential("c1"));
     assert_eq!(reason, Reason::NotJoined);
@@ -144,25 +149,25 @@
         (credential("b1"), "as bolt"),
     ] {
         let key = try_admit(&mut world, "/public/x", sent).unwrap();
-        assert_eq!(tenants_sent(&mut world), [expected]);
+        assert_eq!(workspaces_sent(&mut world), [expected]);
         world.respond(key);
         world.effects();
     }
 }
 
-/// Guards against routes whose rank still applies to a tenant that has one: `/again/` has rank 1.
+/// Guards against routes whose rank still applies to a workspace that has one: `/again/` has rank 1.
 #[test]
-fn the_rank_of_the_tenant_replaces_that_of_the_route() {
+fn the_rank_of_the_workspace_replaces_that_of_the_route() {
     let mut world = world();
     block(&mut world);
-    let mut first = tenant(&["a1"]);
+    let mut first = workspace(&["a1"]);
     first.rank = Some(0);
-    let mut last = tenant(&["b1"]);
+    let mut last = workspace(&["b1"]);
     last.rank = Some(2);
-    world.catalog.tenants.put("acme", first, 4);
-    world.catalog.tenants.put("bolt", last, 4);
+    world.catalog.workspaces.put("acme", first, 4);
+    world.catalog.workspaces.put("bolt", last, 4);
     world.apply_catalog();
-    // Without ranks of tenants, the second would be sent first.
+    // Without ranks of workspaces, the second would be sent first.
     let late = try_admit(&mut world, "/one/x", credential("b1")).unwrap();
     let early = try_admit(&mut world, "/again/x", credential("a1")).unwrap();
     world.effects();
@@ -170,13 +175,13 @@
     assert!(waiting.keys().eq([early, late]));
     world.now = ms(300);
     decide::tick(&mut world.state, 7, world.now);
-    assert_eq!(tenants_sent(&mut world), ["as acme", "as bolt"]);
+    assert_eq!(workspaces_sent(&mut world), ["as acme", "as bolt"]);
 }
 
-/// Guards against requests that leave the regions to which either the tenant or the route is bound.
+/// Guards against requests that leave the regions to which either the workspace or the route is bound.
 #[test]
-fn the_home_regions_of_the_tenant_and_of_the_route_both_apply() {
-    // Regions of the route and of the tenant, and the upstream that both allow. This VM is in region `r`.
+fn the_home_regions_of_the_workspace_and_of_the_route_both_apply() {
+    // Regions of the route and of the workspace, and the upstream that both allow. This VM is in region `r`.
     let cases: [(&[&str], &[&str], &str); 7] = [
         (&[], &[], "send a1"),
         (&[], &["s"], "send c1"),
@@ -186,21 +191,21 @@
         (&["r", "s"], &["r"], "send a1"),
         (&["r"], &["s"], "queued"),
     ];
-    for (of_route, of_tenant, expected) in cases {
+    for (of_route, of_workspace, expected) in cases {
         let mut world = world();
         let list = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
         let mut homed = route("h", "/home/");
         homed.homes = list(of_route);
-        let mut row = tenant(&["a1"]);
-        row.homes = list(of_tenant);
+        let mut row = workspace(&["a1"]);
+        row.homes = list(of_workspace);
         world.catalog.routes.put("home", homed, 3);
-        world.catalog.tenants.put("acme", row, 3);
+        world.catalog.workspaces.put("acme", row, 3);
         world.apply_catalog();
         try_admit(&mut world, "/home/x", credential("a1")).unwrap();
         assert_eq!(
             world.effects(),
             [expected],
-            "route {of_route:?}, tenant {of_tenant:?}"
+            "route {of_route:?}, workspace {of_workspace:?}"
         );
     }
 }
@@ -220,10 +225,13 @@
         world.effects();
         put(&mut world, 4, change);
         // Of the public route no caller gets 401: the key is not needed there.
-        assert_eq!(tenants_sent(&mut world), [expected, "identity_unknown No"]);
+        assert_eq!(
+            workspaces_sent(&mut world),
+            [expected, "identity_unknown No"]
+        );
         world.now = ms(300);
         decide::tick(&mut world.state, 7, world.now);
-        assert_eq!(tenants_sent(&mut world), ["as bolt"]);
+        assert_eq!(workspaces_sent(&mut world), ["as bolt"]);
         assert!(world.state.pools.get("s").unwrap().waiting.is_empty());
     }
 }
@@ -239,7 +247,7 @@
     put(&mut world, 4, &[("cask", &["c1"])]);
     world.now = ms(300);
     decide::tick(&mut world.state, 7, world.now);
-    assert_eq!(tenants_sent(&mut world), ["as acme"]);
+    assert_eq!(workspaces_sent(&mut world), ["as acme"]);
 }
 
 /// Guards against retries with a key that was removed since the first attempt, and against a refusal that promises
@@ -252,11 +260,11 @@
     ] {
         let mut world = world();
         let key = try_admit(&mut world, "/again/x", credential("a1")).unwrap();
-        assert_eq!(tenants_sent(&mut world), ["as acme"]);
+        assert_eq!(workspaces_sent(&mut world), ["as acme"]);
         put(&mut world, 4, &[("acme", &["a2"])]);
         assert_eq!(world.effects(), ["revoke"]);
         world.finish(key, failed(Reason::ConnectFailed, ran));
-        assert_eq!(tenants_sent(&mut world), [expected]);
+        assert_eq!(workspaces_sent(&mut world), [expected]);
     }
 }
 
@@ -269,7 +277,7 @@
     put(&mut world, 4, &[("acme", &["a2"])]);
     assert_eq!(world.effects(), ["revoke"]);
     world.finish(key, failed(Reason::IdentityUnknown, Ran::No));
-    assert_eq!(tenants_sent(&mut world), ["unauthorized No"]);
+    assert_eq!(workspaces_sent(&mut world), ["unauthorized No"]);
     try_admit(&mut world, "/one/x", credential("a2")).unwrap();
     assert_eq!(world.effects(), ["send a1"]);
 }
@@ -291,9 +299,9 @@
 #[test]
 fn requests_with_a_remote_home_make_no_others_leave() {
     let mut world = world();
-    let mut homed = tenant(&["h1"]);
+    let mut homed = workspace(&["h1"]);
     homed.homes = vec!["s".to_owned()];
-    world.catalog.tenants.put("homed", homed, 3);
+    world.catalog.workspaces.put("homed", homed, 3);
     world.apply_catalog();
     for round in 0..200 {
         world.now = ms(50 * round);
--- a/src/steer/thread.rs
+++ b/src/steer/thread.rs
@@ -120,7 +120,7 @@
                     let now = self.context.clock.now();
                     if catalog::apply(&mut self.state, &followed, now) {
                         identity::refuse_changed(&mut self.state, rand::random(), now);
-                        allotment::apply_tenants(&mut self.state);
+                        allotment::apply_workspaces(&mut self.state);
                     }
                     self.record_catalog(&followed.catalog);
                 }
@@ -307,7 +307,7 @@
                 born,
                 deadline,
                 is_checked,
-                tenant,
+                workspace,
                 basis,
             } => {
                 let Some(pending) = self.pending.get_mut(in_flight) else {
@@ -354,7 +354,7 @@
                     payload: Arc::clone(&pending.payload),
                     caller: Caller {
                         is_checked,
-                        tenant,
+                        workspace,
                         revoked,
                     },
                     cancel: pending.cancel.clone(),
--- a/src/tenants/decide.rs
+++ b/src/workspaces/decide.rs
@@ -1,11 +1,11 @@
-//! Decides which tenant a request belongs to.
+//! Decides which workspace a request belongs to.
 
 use {
     super::{messages::Credential, state::Index},
-    crate::{call::Reason, keys::TenantKey},
+    crate::{call::Reason, keys::WorkspaceKey},
 };
 
-/// Identifies the tenant of a request; `None` if callers need no API key, or if the route is public and the
+/// Identifies the workspace of a request; `None` if callers need no API key, or if the route is public and the
 /// credential is not a known key.
 ///
 /// # Errors
@@ -13,21 +13,21 @@
 /// unknown key while the control VMs cannot be reached, as it may be newer than this VM's configuration.
 ///
 /// ```
-/// use siskinstep::{call::Reason, catalog::Table, tenants::{self, Credential, Index}};
+/// use siskinstep::{call::Reason, catalog::Table, workspaces::{self, Credential, Index}};
 /// let mut index = Index::default();
-/// assert_eq!(tenants::identify(&index, false, Credential::None, true), Ok(None));
+/// assert_eq!(workspaces::identify(&index, false, Credential::None, true), Ok(None));
 /// index.apply(&Table::default(), true);
-/// let identity = tenants::identify(&index, false, Credential::None, true);
+/// let identity = workspaces::identify(&index, false, Credential::None, true);
 /// assert_eq!(identity, Err(Reason::Unauthorized));
-/// assert_eq!(tenants::identify(&index, true, Credential::None, true), Ok(None));
+/// assert_eq!(workspaces::identify(&index, true, Credential::None, true), Ok(None));
 /// ```
 pub fn identify(
     index: &Index,
     is_public: bool,
     credential: Credential,
     is_control_reachable: bool,
-) -> Result<Option<TenantKey>, Reason> {
-    if !index.has_tenants() {
+) -> Result<Option<WorkspaceKey>, Reason> {
+    if !index.has_workspaces() {
         return Ok(None);
     }
     let known = match credential {
--- a/src/tenants/decode.rs
+++ b/src/workspaces/decode.rs
@@ -9,7 +9,7 @@
 /// one or more spaces, and the API key.
 ///
 /// ```
-/// use siskinstep::tenants::{Credential, Digest, decode};
+/// use siskinstep::workspaces::{Credential, Digest, decode};
 /// assert_eq!(decode([&b"bearer  k"[..]]), Credential::Key(Digest::of(b"k")));
 /// assert_eq!(decode([&b"Basic k"[..]]), Credential::Malformed);
 /// assert_eq!(decode([]), Credential::None);
--- a/src/tenants/digest.rs
+++ b/src/workspaces/digest.rs
@@ -19,7 +19,7 @@
     /// Digest of a key.
     ///
     /// ```
-    /// use siskinstep::tenants::Digest;
+    /// use siskinstep::workspaces::Digest;
     /// assert_eq!(Digest::of(b"key"), Digest::of(b"key"));
     /// assert_ne!(Digest::of(b"key"), Digest::of(b"Key"));
     /// ```
@@ -32,7 +32,7 @@
     /// Scales the digest to `0..count`, preserving the order of digests.
     ///
     /// ```
-    /// use siskinstep::tenants::Digest;
+    /// use siskinstep::workspaces::Digest;
     /// assert!(Digest::of(b"key").scaled_to(7) < 7);
     /// ```
     #[must_use]
--- a/src/tenants/mod.rs
+++ b/src/workspaces/mod.rs
@@ -1,4 +1,4 @@
-//! Tenants: who a caller is and what it may do.
+//! Workspaces: who a caller is and what it may do.
 
 pub mod decide;
 pub mod decode;
--- a/src/tenants/tests.rs
+++ b/src/workspaces/tests.rs
@@ -2,16 +2,16 @@
     super::{Credential, Digest, Index, decode, identify},
     crate::{
         call::Reason,
-        catalog::{Table, Tenant},
+        catalog::{Table, Workspace},
         fuzz,
-        keys::TenantKey,
+        keys::WorkspaceKey,
     },
 };
 
-pub(crate) fn tenant(keys: &[&str]) -> Tenant {
+pub(crate) fn workspace(keys: &[&str]) -> Workspace {
     let mut keys: Vec<Digest> = keys.iter().map(|key| Digest::of(key.as_bytes())).collect();
     keys.sort_unstable();
-    Tenant {
+    Workspace {
         keys,
         rank: None,
         rate: 0,
@@ -25,10 +25,10 @@
     Credential::Key(Digest::of(key.as_bytes()))
 }
 
-fn index(tenants: &[(&str, &[&str])]) -> (Index, Table<Tenant>) {
+fn index(workspaces: &[(&str, &[&str])]) -> (Index, Table<Workspace>) {
     let mut table = Table::default();
-    for (name, keys) in tenants {
-        table.put(name, tenant(keys), 1);
+    for (name, keys) in workspaces {
+        table.put(name, workspace(keys), 1);
     }
     let mut index = Index::default();
     index.apply(&table, true);
@@ -68,9 +68,9 @@
     }
 }
 
-/// Guards against a deployment without tenants that refuses callers or names one.
+/// Guards against a deployment without workspaces that refuses callers or names one.
 #[test]
-fn without_tenants_no_caller_is_identified() {
+fn without_workspaces_no_caller_is_identified() {
     for credential in [Credential::None, Credential::Malformed, credential("a1")] {
         assert_eq!(
             identify(&Index::default(), false, credential, false),
@@ -79,9 +79,9 @@
     }
 }
 
-/// Guards against open access after the last tenant is removed by name.
+/// Guards against open access after the last workspace is removed by name.
 #[test]
-fn an_empty_list_of_tenants_admits_nobody() {
+fn an_empty_list_of_workspaces_admits_nobody() {
     let (mut index, mut table) = index(&[("acme", &["a1"])]);
     table.remove("acme", 2);
     assert!(index.apply(&table, true));
@@ -91,19 +91,19 @@
     assert_eq!(identify(&index, false, Credential::None, true), Ok(None));
 }
 
-/// Guards against limits and queues that lose track of a tenant whose row changes, and against a key of the arena that
-/// matches a later tenant.
+/// Guards against limits and queues that lose track of a workspace whose row changes, and against a key of the arena that
+/// matches a later workspace.
 #[test]
-fn tenants_that_stay_keep_their_keys_and_those_of_removed_ones_never_match_again() {
+fn workspaces_that_stay_keep_their_keys_and_those_of_removed_ones_never_match_again() {
     let (mut index, mut table) = index(&[("acme", &["a1"]), ("bolt", &["b1"]), ("cask", &["c1"])]);
     let key = |index: &Index, name: &str| index.key(name).unwrap();
     let [acme, bolt, cask] = ["acme", "bolt", "cask"].map(|name| key(&index, name));
-    let mut changed = tenant(&["a2", "c1"]);
+    let mut changed = workspace(&["a2", "c1"]);
     changed.rate = 1_500;
     changed.burst = 2_000;
     table.put("acme", changed, 2);
     table.remove("cask", 2);
-    table.put("dune", tenant(&["d1"]), 2);
+    table.put("dune", workspace(&["d1"]), 2);
     assert!(index.apply(&table, true));
     assert!(!index.apply(&table, true));
     assert_eq!((key(&index, "acme"), key(&index, "bolt")), (acme, bolt));
@@ -128,7 +128,7 @@
         for number in 0..count {
             table.put(
                 &format!("t{number}"),
-                tenant(&[&format!("key-{number}")]),
+                workspace(&[&format!("key-{number}")]),
                 1,
             );
         }
@@ -136,7 +136,7 @@
         index.apply(&table, true);
         let find = |number: u32| index.find(&Digest::of(format!("key-{number}").as_bytes()));
         for number in 0..count {
-            let found: Option<TenantKey> = index.key(&format!("t{number}"));
+            let found: Option<WorkspaceKey> = index.key(&format!("t{number}"));
             assert!(
                 found.is_some() && find(number) == found,
                 "{number} of {count}"
