--- a/src/courier/attempt.rs
+++ b/src/courier/attempt.rs
@@ -92,6 +92,16 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Whether the upstream has restricted further requests; `findings` receives how.
+fn is_held(resources: &Resources, dispatch: &Dispatch, findings: &Findings) -> bool {
+    let now = resources.context.clock.now();
+    let notice = resources.fence.borrow().check(dispatch.target.key, now);
+    if let Some(notice) = notice {
+        findings.notice.set(notice);
+    }
+    notice.is_some()
+}
+
 /// Time until the deadline of the attempt.
 fn remaining(resources: &Resources, dispatch: &Dispatch) -> Duration {
     dispatch.until.since(resources.context.clock.now())
@@ -105,13 +115,14 @@
 ) -> Outcome {
     let name = (resources.wire_format.name)(&dispatch.payload).map(xxh3_64);
     let connect_us = &findings.connect_us;
+    if is_held(resources, dispatch, findings) {
+        return not_run(Reason::UpstreamHeld);
+    }
     let Some((mut connection, reused)) = obtain(resources, dispatch, name, connect_us).await else {
         return not_run(Reason::ConnectFailed);
     };
     // Responses to other requests may have arrived while the connection was being opened.
-    let now = resources.context.clock.now();
-    if let Some(notice) = resources.fence.borrow().check(dispatch.target.key, now) {
-        findings.notice.set(notice);
+    if is_held(resources, dispatch, findings) {
         return not_run(Reason::UpstreamHeld);
     }
     let remaining_ms = as_millis(remaining(resources, dispatch));
