--- a/src/shares/hold.rs
+++ b/src/shares/hold.rs
@@ -15,8 +15,9 @@
 const CALL_MS: u64 = 400;
 /// Delay after a failed call, in milliseconds: a control VM that refuses calls must not be called in a loop.
 const RETRY_MS: u64 = 50;
-/// Time a request waits for a token at most, in milliseconds.
-pub const WAIT_MS: u64 = 150;
+/// Time a request waits for a token at most, in milliseconds: two calls to a leader in another region, as one may be in
+/// progress.
+pub const WAIT_MS: u64 = 250;
 /// Window in which the demand is counted, in milliseconds.
 const DEMAND_MS: u64 = 1_000;
 /// The entry VM keeps the tokens of its demand divided by this: half a second's.
