--- a/src/backpressure/decide.rs
+++ b/src/backpressure/decide.rs
@@ -42,8 +42,9 @@
     leaving.is_some_and(|leaving| born <= leaving.born)
 }
 
-/// Forgets ended rest periods of unlisted upstreams, and departures of upstreams that the catalogue has not listed for `MEMORY_MS`. One that states no incarnation (0) is
-/// forgotten as soon as it is not listed: nothing else tells its next incarnation from this one.
+/// Forgets ended rest periods of unlisted upstreams, and departures of upstreams that the catalogue has not listed
+/// for `MEMORY_MS`. One that states no incarnation (0) is forgotten as soon as it is not listed: nothing else tells its
+/// next incarnation from this one.
 ///
 /// ```
 /// # use siskinstep::{backpressure::{self, State}, clock::Micros};
--- a/src/balance/state.rs
+++ b/src/balance/state.rs
@@ -129,23 +129,6 @@
         self.others
     }
 
-    /// Requests per second that other VMs send there, if half of the requests end within `half_life_ms`.
-    ///
-    /// ```
-    /// use siskinstep::{balance::{Estimate, Load}, clock::Micros};
-    /// let mut estimate = Estimate::default();
-    /// for second in 60..90 {
-    ///     let at = Micros::from_millis(second * 1_000);
-    ///     estimate.record(Load { running: 4, slots: 4, at, ..Load::default() }, 0, 500);
-    /// }
-    /// // Of four requests, half are replaced within half a second.
-    /// assert!((5.0..6.0).contains(&estimate.rate_per_s(500)));
-    /// ```
-    #[must_use]
-    pub fn rate_per_s(&self, half_life_ms: u64) -> f64 {
-        self.inflow * std::f64::consts::LN_2 / seconds(half_life_ms)
-    }
-
     /// Expected requests at an upstream with `slots`, `own` of them from this VM. A report of the others is valid
     /// for about as long as a request takes, with a half-life of `half_life_ms`; after that the average of the
     /// upstream applies, and later that of its `peers`. The variance grows from 0 with the age of the report, as
--- a/src/edge/held.rs
+++ b/src/edge/held.rs
@@ -126,8 +126,8 @@
         }
     }
 
-    /// Creates a bound of `limit` bytes that is exceeded by one body and one frame at most. For bodies whose owners release them
-    /// in a bounded time, such as responses on their way to callers.
+    /// Creates a bound of `limit` bytes that is exceeded by one body and one frame at most. For bodies whose owners
+    /// release them in a bounded time, such as responses on their way to callers.
     pub(crate) fn strict(limit: usize) -> Self {
         Self {
             is_strict: true,
--- a/src/fairness/tests.rs
+++ b/src/fairness/tests.rs
@@ -122,8 +122,8 @@
     rig
 }
 
-/// Guards against a workspace whose excess delays the requests of others. A small workspace has one request at a time, and
-/// each other one is sent at most one before it.
+/// Guards against a workspace whose excess delays the requests of others. A small workspace has one request at a time,
+/// and each other one is sent at most one before it.
 #[test]
 fn a_workspace_that_sends_eight_times_its_usual_rate_delays_its_own_requests() {
     let fair = eight_times(Order::Fair);
@@ -136,8 +136,8 @@
     assert!(baseline.longest.iter().all(|wait| *wait > 400));
 }
 
-/// Guards against a workspace that gets more by repeating at once whatever was sent, with many requests or with one: the
-/// one that is forgotten at the tag at which it was just sent would be sent again and again at that tag.
+/// Guards against a workspace that gets more by repeating at once whatever was sent, with many requests or with one:
+/// the one that is forgotten at the tag at which it was just sent would be sent again and again at that tag.
 #[test]
 fn immediate_repeats_gain_nothing() {
     let run = |order, repeated: usize, others: usize| {
