Answer look-ups of a control VM that has just started at once again

Where other control VMs run, an immediate 503 sends the caller to the next one sooner than a wait does.

--- a/src/beacon/mod.rs
+++ b/src/beacon/mod.rs
@@ -3,7 +3,6 @@
 //! Heartbeats are periodic datagrams. An entry VM that is killed is no longer listed within
 //! seconds, and the list of a control VM depends on no other control VM.
 
-pub mod find;
 pub mod messages;
 pub mod receive;
 pub mod send;
@@ -12,7 +11,6 @@
 mod tests;
 
 pub use {
-    find::find,
     messages::Beacon,
     state::{LiveEntries, LiveEntry},
 };
