review: a planned stop cuts off answers of callers with pipelined requests

Cause: a connection that is closed behind an answer is read on for 500 ms only, and is then reset by whatever its caller sends next; the reset discards the answers that the caller has not taken yet (src/edge/listener.rs).

The case: callers take 3 MB at 5.6 Mbit/s and send small requests behind, while their entry VM is stopped as planned. LOST: the requests were run by servers, and their connections end without a complete answer.

--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -387,7 +387,8 @@
             let due = Duration::from_secs_f64(got as f64 / per_s as f64);
             thread::sleep(due.saturating_sub(begun.elapsed()));
         }
-        match stream.read(&mut chunk) {
+        let wanted = chunk.len().min(total - got);
+        match stream.read(&mut chunk[..wanted]) {
             Ok(0) | Err(_) => break,
             Ok(length) => got += length,
         }
