--- a/review/rig-2/rig.rs
+++ b/review/rig_2.rs
@@ -249,6 +249,32 @@
         }
     }
 
+    /// Changes the settings file of a machine (the order of its seeds) and sends SIGHUP, as the platform does.
+    pub fn change_settings(&self, at: usize) {
+        let path = self.folder.join(&self.machines[at].name).join("node.json");
+        let text = fs::read_to_string(&path).unwrap_or_default();
+        let seeds = self.controls();
+        let (first, second) = (format!("\"{}\"", seeds[0]), format!("\"{}\"", seeds[1]));
+        let text = text
+            .replace(&first, "FIRST")
+            .replace(&second, &first)
+            .replace("FIRST", &second);
+        let next = path.with_extension("new");
+        fs::write(&next, text)
+            .and_then(|()| fs::rename(&next, &path))
+            .expect("settings file");
+        let child = self.machines[at].child.lock().unwrap();
+        if let Some(child) = child.as_ref() {
+            let _ = Command::new("kill")
+                .args(["-s", "HUP", &child.id().to_string()])
+                .status();
+            self.record.line(&format!(
+                "the platform changes the settings of {} and sends SIGHUP",
+                self.machines[at].name
+            ));
+        }
+    }
+
     pub fn is_ready(&self, at: usize) -> bool {
         let answer = call(
             self.at(at, 1),
@@ -336,6 +362,56 @@
     panic!("no free ports");
 }
 
+/// The link of a machine, which all transfers share.
+pub struct Link {
+    per_s: f64,
+    free_at: Mutex<Instant>,
+}
+
+impl Link {
+    pub fn new(per_s: f64) -> Arc<Self> {
+        Arc::new(Self {
+            per_s,
+            free_at: Mutex::new(Instant::now()),
+        })
+    }
+
+    /// Waits until so many bytes fit.
+    pub fn take(&self, bytes: usize) {
+        let until = {
+            let mut free_at = self.free_at.lock().unwrap();
+            *free_at =
+                (*free_at).max(Instant::now()) + Duration::from_secs_f64(bytes as f64 / self.per_s);
+            *free_at
+        };
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// Bytes a second of a machine's link: 800 of its 1,000 Mbit/s.
+pub const LINK_PER_S: f64 = 100e6;
+
+/// Sends a request whose body goes over `link`.
+pub fn send_over(
+    link: &Link,
+    stream: &mut TcpStream,
+    head: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut text = format!("{head} HTTP/1.1\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+    stream.write_all(text.as_bytes())?;
+    for part in body.chunks(64 << 10) {
+        link.take(part.len());
+        stream.write_all(part)?;
+    }
+    Ok(())
+}
+
 pub struct Answer {
     pub status: u16,
     pub headers: HashMap<String, String>,
@@ -475,7 +551,7 @@
             .unwrap()
             .as_millis();
         let (inner, owner) = (Arc::clone(&server), Arc::clone(fleet));
-        let running = Arc::new(AtomicU64::new(0));
+        let running = Arc::new([AtomicU64::new(0), AtomicU64::new(0)]);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (server, fleet, running) =
@@ -514,7 +590,7 @@
         &self,
         fleet: &Fleet,
         mut stream: TcpStream,
-        running: &AtomicU64,
+        running: &[AtomicU64; 2],
         slots: u64,
         manner: Manner,
     ) {
@@ -564,6 +640,7 @@
             let answer_bytes = answer_bytes
                 .and_then(|row| row.1.parse::<usize>().ok())
                 .unwrap_or(400);
+            let [running, busy] = running;
             let before = running.fetch_add(1, Ordering::SeqCst);
             let (status, extra) = if is_health {
                 ("200 OK", format!("X-Instance-Id: {}\r\n", self.id))
@@ -572,7 +649,7 @@
                     "421 Misdirected Request",
                     "X-Not-Executed: 1\r\n".to_owned(),
                 )
-            } else if before >= slots {
+            } else if before >= slots * 4 {
                 (
                     "503 Service Unavailable",
                     "X-Not-Executed: 1\r\n".to_owned(),
@@ -584,7 +661,26 @@
                     "{} runs {id}, {path}, body of {total} bytes",
                     self.id
                 ));
+                // A few requests more than the slots wait for one.
+                let started = Instant::now();
+                while busy
+                    .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| {
+                        (n < slots).then_some(n + 1)
+                    })
+                    .is_err()
+                {
+                    thread::sleep(Duration::from_millis(2));
+                }
+                let waited = started.elapsed();
+                if waited > Duration::from_millis(10) {
+                    fleet.record.line(&format!(
+                        "{}: {id} waited {} ms for a slot",
+                        self.id,
+                        waited.as_millis()
+                    ));
+                }
                 thread::sleep(manner.work);
+                busy.fetch_sub(1, Ordering::SeqCst);
                 (
                     "200 OK",
                     format!("X-Server-Seal: seal.{}.{id}\r\n", self.id),
